--- /dev/null
+++ b/rampfront/__init__.py
@@ -0,0 +1,1 @@
+"""rampfront: a gateway that holds customers to their quotas before a shared back end."""
--- /dev/null
+++ b/rampfront/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the simulator's wire and the decision module; it decides nothing."""
--- /dev/null
+++ b/rampfront/benchlink/host.py
@@ -0,0 +1,252 @@
+"""Hosts many nodes on one wire. They share nothing: each has its own ids, timers and decisions."""
+
+import sys
+
+import orjson
+
+from .. import terms as t
+from ..choice import Node
+from .codec import ENDINGS, STATES, Names, Odd, ms, ns, read_terms, word
+
+
+class Malformed(Exception):
+    """The wire itself cannot be followed any further."""
+
+
+class Indices:
+    """Wire ids to small indices, which are used again once they are free."""
+
+    def __init__(self):
+        self.of, self.ids, self.spare = {}, [], []
+
+    def take(self, wire_id):
+        index = self.of.get(wire_id)
+        if index is None:
+            if self.spare:
+                index = self.spare.pop()
+                self.ids[index] = wire_id
+            else:
+                index = len(self.ids)
+                self.ids.append(wire_id)
+            self.of[wire_id] = index
+        return index
+
+    def free(self, index):
+        del self.of[self.ids[index]]
+        self.spare.append(index)
+
+
+class Desk:
+    """One instance: its node, and what is needed to give indices back. `out` holds, for each open txn, its
+    submissions so far, those out, and whether it is over; `busy` counts what is out at each app server."""
+
+    def __init__(self, now, event):
+        setup = event["Setup"]
+        self.names = Names(setup)
+        self.node = Node(read_terms(setup, self.names), event["Seed"], now)
+        self.txns, self.servers = Indices(), Indices()
+        self.out, self.busy, self.gone = {}, {}, set()
+
+    def tell(self, now, event):
+        handler = HANDLERS.get(event["cmd"])
+        if handler is None:
+            raise Odd(f"unknown event {event['cmd']!r}")
+        told = handler(self, event)
+        return self.write(self.node.take(now, told)) if told is not None else []
+
+    # ---- events
+
+    def targets(self, event):
+        mode = event["Mode"]
+        if mode == "lost":
+            return t.ServerList(False, True)
+        whole, rows = mode != "incr", []
+        for row in event.get("Rows", ()):
+            state = word(STATES, row["Status"], "status")
+            if state == t.REMOVED and row["Server"] not in self.servers.of:
+                continue
+            index = self.servers.take(row["Server"])
+            (self.gone.add if state == t.REMOVED else self.gone.discard)(index)
+            rows.append(t.Listed(index, state, self.names.zones.get(row.get("Locality"), -1), row.get("Cohort", 0),
+                                 row.get("Nominal", 1.0), ns(row.get("CameUp", 0))))
+        if whole:
+            named = {row.server for row in rows}
+            self.gone.update(index for index in self.servers.of.values() if index not in named)
+        return t.ServerList(whole, False, rows)
+
+    def sweep(self):
+        """Gives back the indices of app servers that left the list and have nothing of ours out."""
+        for index in [index for index in sorted(self.gone) if not self.busy.get(index)]:
+            self.gone.discard(index)
+            self.busy.pop(index, None)
+            self.servers.free(index)
+
+    def req(self, event):
+        product = word(self.names.products, event["TierClass"], "product")
+        plan = word(self.names.plans, event["Tier"], "plan")
+        txn = self.txns.take(event["Req"])
+        self.out[txn] = [0, set(), False]
+        return t.Arrival(txn, product, plan, event["UserKey"], event.get("Weight", 1), ns(event["Remaining"]),
+                         max(1, event.get("SetSize", 1)))
+
+    def underway(self, event):
+        txn = self.txns.of.get(event["Req"])
+        return t.Began(txn) if txn is not None else None
+
+    def returned(self, event):
+        how = word(ENDINGS, event["Ending"], "ending")
+        txn = self.txns.of.get(event["Req"])
+        server = self.servers.of.get(event["Server"])
+        if txn is None or server is None or event.get("Attempt", 0) not in self.out[txn][1]:
+            return None  # late, repeated or unknown
+        row = self.out[txn]
+        row[1].discard(event.get("Attempt", 0))
+        self.busy[server] -= 1
+        final = event.get("Terminal", False)
+        row[2] = row[2] or final
+        return t.Ended(txn, server, how, ns(event.get("Took", 0)), final, event.get("Charged", 0))
+
+    def dropped(self, event):
+        txn = self.txns.of.get(event["Req"])
+        if txn is None or self.out[txn][2]:
+            return None
+        self.out[txn][2] = True
+        return t.Left(txn)
+
+    def wake(self, event):
+        return t.Due(event["Ref"])
+
+    def sampled(self, event):
+        how = word(ENDINGS, event["Ending"], "ending")
+        server = self.servers.of.get(event["Server"])
+        if server is None or not self.busy.get(server):
+            return None
+        self.busy[server] -= 1
+        return t.Probed(server, how, ns(event.get("Took", 0)), event.get("Report") or {})
+
+    def added(self, event):
+        return t.Counted(event["Book"], event.get("Total", 0), word(ENDINGS, event["Ending"], "ending"),
+                         ns(event.get("Took", 0)))
+
+    def peerdata(self, event):
+        return None  # nodes say nothing to each other
+
+    # ---- effects
+
+    def write(self, effects):
+        return [WRITERS[type(effect)](self, effect) for effect in effects]
+
+    def submit(self, e):
+        row = self.out[e.txn]
+        row[1].add(row[0])
+        row[0] += 1
+        self.busy[e.server] = self.busy.get(e.server, 0) + 1
+        return {"cmd": "Route", "Req": self.txns.ids[e.txn], "Server": self.servers.ids[e.server],
+                "AllowFor": ms(e.allow)}
+
+    def cancel(self, e):
+        return {"cmd": "Retract", "Req": self.txns.ids[e.txn], "Attempt": self.out[e.txn][0] - 1}
+
+    def decline(self, e):
+        self.out[e.txn][2] = True
+        return {"cmd": "Reject", "Req": self.txns.ids[e.txn], "RetryIn": ms(e.back_in)}
+
+    def void(self, e):
+        self.out[e.txn][2] = True
+        return {"cmd": "Lose", "Req": self.txns.ids[e.txn]}
+
+    def remind(self, e):
+        return {"cmd": "Remind", "Delay": ms(e.delay), "Ref": e.ref}
+
+    def probe(self, e):
+        self.busy[e.server] = self.busy.get(e.server, 0) + 1
+        return {"cmd": "Poll", "Server": self.servers.ids[e.server]}
+
+    def add(self, e):
+        return {"cmd": "ChargeCounter", "Book": e.name, "Delta": e.amount, "Lifetime": ms(e.life)}
+
+    def subscribe(self, e):
+        return {"cmd": "KeepInformed", "Active": True}
+
+    def settle_up(self, event):
+        """After an event: gives back the txn's index if it is over with nothing out, and departed servers'."""
+        txn = self.txns.of.get(event.get("Req"))
+        if txn is not None and self.out[txn][2] and not self.out[txn][1]:
+            del self.out[txn]
+            self.txns.free(txn)
+        if self.gone:
+            self.sweep()
+
+
+HANDLERS = {"Targets": Desk.targets, "Req": Desk.req, "UnderWay": Desk.underway, "Returned": Desk.returned,
+            "Dropped": Desk.dropped, "Wake": Desk.wake, "Sampled": Desk.sampled, "Added": Desk.added,
+            "PeerData": Desk.peerdata}
+WRITERS = {t.Submit: Desk.submit, t.Cancel: Desk.cancel, t.Decline: Desk.decline, t.Void: Desk.void,
+           t.Remind: Desk.remind, t.Probe: Desk.probe, t.Add: Desk.add, t.Subscribe: Desk.subscribe}
+
+
+class Host:
+    def __init__(self, output):
+        self.output, self.desks, self.now = output, {}, 0
+
+    def serve(self, lines):
+        replies = []
+        for line in lines:
+            if not line.strip():
+                continue
+            event = self.parse(line)
+            cmd = event["cmd"]
+            if cmd == "Tick":
+                self.now = ns(event["Time"]) if "Time" in event else self.lacking(event, "Time")
+            elif cmd == "YourTurn":
+                replies.append({"cmd": "End"})
+                self.output.write(b"".join(orjson.dumps(r, option=orjson.OPT_APPEND_NEWLINE) for r in replies))
+                self.output.flush()
+                replies = []
+            else:
+                replies += self.one(event)
+
+    @staticmethod
+    def parse(line):
+        try:
+            event = orjson.loads(line)
+        except orjson.JSONDecodeError as trouble:
+            raise Malformed(f"not JSON ({trouble}): {line[:80]!r}") from None
+        if not isinstance(event, dict) or not isinstance(event.get("cmd"), str):
+            raise Malformed(f"no message name in {line[:80]!r}")
+        return event
+
+    @staticmethod
+    def lacking(event, name):
+        raise Malformed(f"{event['cmd']} without {name}")
+
+    def one(self, event):
+        where, cmd = event.get("I"), event["cmd"]
+        if not isinstance(where, int):
+            self.lacking(event, "I")
+        try:
+            if cmd == "NewInstance":
+                self.desks[where] = Desk(self.now, event)
+                replies = self.desks[where].write(self.desks[where].node.begin(self.now))
+            elif cmd == "CrashNow":
+                self.desks.pop(where, None)
+                return []
+            elif where not in self.desks:
+                return []  # for a life that has ended
+            else:
+                replies = self.desks[where].tell(self.now, event)
+                self.desks[where].settle_up(event)
+        except Odd as trouble:
+            return self.fault(where, f"{cmd}: {trouble}")
+        except KeyError as trouble:
+            return self.fault(where, f"{cmd}: missing or unknown {trouble}")
+        except Exception as trouble:  # the wire has a word for a failed decision: no traceback, no silence
+            return self.fault(where, f"{cmd}: {type(trouble).__name__}: {trouble}")
+        for reply in replies:
+            reply["I"] = where
+        return replies
+
+    @staticmethod
+    def fault(where, text):
+        print(f"rampfront: instance {where}: {text}", file=sys.stderr)
+        return [{"cmd": "Fault", "I": where, "Msg": text}]
--- /dev/null
+++ b/rampfront/choice.py
@@ -0,0 +1,616 @@
+"""All decisions of one edge node.
+
+Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return the
+list of effects, to be carried out in order. Inputs, effects and terms are the types of `terms.py`, times whole
+nanoseconds. A node knows only what it was told itself.
+
+Read `TXN` and `COUNTER` first: they are the decisions, `step` and `mark` merely read them. Every submission
+goes through `lawful` (rules 2 to 5) and `submit` (rule 1: each is cut off before the expiry, so its end,
+which is always told, leaves time for the final answer; no txn is ever held without a submission out).
+Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds.
+"""
+
+from collections import deque
+from hashlib import blake2b
+from random import Random
+
+from . import terms as t
+
+MS, SEC = 10 ** 6, 10 ** 9
+
+TICK = SEC  # mean gap between an account's adds while it is active
+FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
+STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
+STRETCH = 4  # longest tick, in ticks, while the counter is crowded
+SICK_AFTER = 4  # failures of the counter in a row that open the breaker
+TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
+GAUGE_WINDOW = 2 * SEC  # epoch of the counts that stand for submissions out at once
+OPEN_START = 6.0  # submissions out at one app server before anything is known of it
+FIRST_PART = 0.55  # part of the SLA time that a submission gets when another may follow
+SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
+MEMORY = 8 * SEC  # judgements of an app server halve about this often
+COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
+
+NEW, OUT, STREAM, OVER = "new", "out", "stream", "over"
+ARRIVED, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "settled", "unrun", "risky", "began", "left"
+WELL, SICK, TRIAL = "well", "sick", "trial"
+ANSWER, FAILURE, CALL = "answer", "failure", "call"
+
+
+class Line:
+    """A product: what its txns may do, and how long they lately took (`mean`)."""
+    __slots__ = ("kind", "group", "sla", "window", "late", "mean")
+
+    def __init__(self, product):
+        self.kind, self.group, self.sla = product.kind, product.group, product.sla
+        self.window, self.late, self.mean = product.repeat_window, product.late_share, 0.0
+
+
+class Quota:
+    """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
+    __slots__ = ("rate", "window", "limit", "cap", "fill", "depth", "pays", "idle")
+
+    def __init__(self, plan):
+        self.rate, self.cap, self.fill, self.depth = plan.rate, plan.at_once, plan.ceiling_rate, plan.ceiling_depth
+        self.window = max(SEC, int(plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
+        self.limit = plan.rate * self.window / SEC
+        self.pays = plan.beyond_earns > plan.beyond_costs
+        refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
+        self.idle = max(2 * self.window, 2 * GAUGE_WINDOW, refill)
+
+
+class Window:
+    """Counts of one window: own, the part of it added (`sent`), added or not (`doubt`), under way (`flying`,
+    None: no call); others' (`held`); the last total (`seen`)."""
+    __slots__ = ("number", "own", "sent", "doubt", "flying", "held", "seen")
+
+    def __init__(self, number):
+        self.number, self.own, self.sent, self.doubt, self.flying = number, 0.0, 0.0, 0.0, None
+        self.held = self.seen = 0.0
+
+
+class Ledger:
+    """Counts of one account against one limit, in the current and the previous window."""
+    __slots__ = ("key", "length", "limit", "nodes", "now", "past", "read_at", "armed", "used_at")
+
+    def __init__(self, key, length, limit, nodes, now):
+        self.key, self.length, self.limit, self.nodes = key, length, limit, nodes
+        self.now, self.past = Window(now // length), Window(now // length - 1)
+        self.read_at, self.armed, self.used_at = None, False, now
+
+    def roll(self, now):
+        """Ages windows out; returns what is left of the past window's weight."""
+        number = now // self.length
+        if number != self.now.number:
+            self.past = self.now if number == self.now.number + 1 else Window(number - 1)
+            self.now = Window(number)
+        return 1.0 - (now % self.length) / self.length
+
+    def name(self, window):
+        return int.from_bytes(blake2b(f"{self.key}|{window.number}".encode(), digest_size=8).digest(), "big") >> 1
+
+
+class Account:
+    """`store` is this node's own share of the ceiling, as of `store_at`."""
+    __slots__ = ("key", "quota", "nodes", "rate", "gauge", "out", "gauged_at", "store", "store_at", "used_at")
+
+
+class Server:
+    """`won` and `lost` are fading counts of what it did with our work, `limit` how much of ours it bears at
+    once, `pace` its time for a txn over that of all, `log` what it was sent while cold."""
+    __slots__ = ("id", "state", "zone", "cell", "weight", "born", "out", "limit", "pace", "won", "lost",
+                 "judged_at", "cut_at", "log", "probing")
+
+    def __init__(self, row):
+        self.id, self.out, self.limit, self.pace, self.won, self.lost = row.server, 0, OPEN_START, 1.0, 0.0, 0.0
+        self.judged_at = self.cut_at = self.born = 0
+        self.log, self.probing = deque(), False
+
+
+class Txn:
+    __slots__ = ("id", "line", "account", "units", "came", "expiry", "state", "sent", "out", "risk_at",
+                 "risk_zone", "risk_cell", "inside")
+
+
+class Node:
+    def __init__(self, terms, seed, now):
+        chance = Random(seed)
+        self.random, self.beta, self.uniform = chance.random, chance.betavariate, chance.uniform
+        self.lines = [Line(product) for product in terms.products]
+        self.quotas = [Quota(plan) for plan in terms.plans]
+        self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
+        self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
+        self.margin = 2 * terms.tick
+        self.near = 1.0 / (1.0 + 100.0 * terms.cross_zone_price)
+        self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
+        self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after / SEC
+        self.began, self.now, self.effects = now, now, []
+        self.txns = {}  # open txns; emptied by their final answer and the end of their last submission
+        self.servers = {}  # emptied as the list drops them, once nothing of ours is out there
+        self.accounts = {}  # emptied when idle for two windows, by `retire`
+        self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
+        self.calls = {}  # calls to the counter under way, by name; emptied by their answers
+        self.ref = 0
+        self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
+        self.spare = SPARE_MOST
+        self.done_mass, self.done_at = 0.0, now  # fading count of txns settled by warm app servers
+
+    # ---- inputs
+
+    def begin(self, now):
+        self.now, self.effects = now, []
+        if self.subscribes:
+            self.effects.append(t.Subscribe())
+        return self.effects
+
+    def take(self, now, told):
+        self.now, self.effects = now, []
+        INPUTS[type(told)](self, told)
+        return self.effects
+
+    def remind(self, delay, what, *about):
+        self.ref += 1
+        self.due[self.ref] = (what, about)
+        self.effects.append(t.Remind(int(delay), self.ref))
+
+    def on_due(self, told):
+        what, about = self.due.pop(told.ref, (None, ()))
+        if what:
+            what(*about)
+
+    def on_list(self, told):
+        if told.failed:
+            if self.subscribes:
+                self.remind(self.uniform(0.5, 1.0) * SEC, self.ask)
+            return
+        if told.whole:
+            named = {row.server for row in told.rows}
+            for server in [s for s in self.servers.values() if s.id not in named]:
+                self.remove(server)
+        for row in told.rows:
+            server = self.servers.get(row.server)
+            if row.state == t.REMOVED:
+                if server:
+                    self.remove(server)
+                continue
+            if server is None:
+                server = self.servers[row.server] = Server(row)
+                if self.probes:
+                    self.remind(self.uniform(0.0, 1.0) * SEC, self.probe, server)
+            if row.came_up != server.born:  # another process: what was known of the old one is void
+                server.won = server.lost = 0.0
+                server.pace, server.limit = 1.0, OPEN_START
+                server.log.clear()
+            server.state, server.born = row.state, row.came_up
+            server.zone, server.cell, server.weight = row.zone, row.cell, row.weight
+
+    def remove(self, server):
+        server.state = t.REMOVED
+        self.let_go(server)
+
+    def let_go(self, server):
+        if server.state == t.REMOVED and not server.out and not server.probing:
+            self.servers.pop(server.id, None)
+
+    def ask(self):
+        self.effects.append(t.Subscribe())
+
+    def on_arrival(self, told):
+        txn = Txn()
+        txn.id, txn.line, txn.units = told.txn, self.lines[told.product], told.units
+        txn.account = self.account(told.account, told.plan, told.set_size)
+        txn.came, txn.expiry, txn.state = self.now, self.now + told.expires_in, NEW
+        txn.sent = txn.out = 0
+        txn.risk_at = None
+        self.txns[txn.id] = txn
+        self.step(txn, ARRIVED)
+
+    def on_began(self, told):
+        if told.txn in self.txns:
+            self.step(self.txns[told.txn], BEGAN)
+
+    def on_left(self, told):
+        if told.txn in self.txns:
+            self.step(self.txns[told.txn], LEFT)
+
+    def on_ended(self, told):
+        txn, server = self.txns.get(told.txn), self.servers.get(told.server)
+        if txn is None or txn.out == 0:
+            return
+        txn.out -= 1
+        self.gauge(txn.account, -1)
+        if server:
+            server.out -= 1
+            self.judge(server, txn, told)
+            self.let_go(server)
+        if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
+            ledger = txn.account.rate
+            ledger.roll(self.now)
+            ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
+        if told.how not in (t.UNSEEN, t.UNSENT) and txn.risk_at is None:
+            txn.risk_at = self.now - told.took
+        if told.final and told.how != t.DONE:
+            self.step(txn, LEFT)
+        else:
+            self.step(txn, SETTLED if told.how == t.DONE else UNRUN if told.how in (t.UNSEEN, t.UNSENT) else RISKY)
+
+    def step(self, txn, seen):
+        """Reads the table: the first row whose guard holds decides."""
+        for guard, then, effect in TXN.get((txn.state, seen), ()):
+            found = guard(self, txn)
+            if found:
+                txn.state = then
+                effect(self, txn, found)
+                break
+        if txn.state == OVER and txn.out == 0:
+            self.txns.pop(txn.id, None)
+
+    # ---- guards
+
+    def always(self, txn):
+        return True
+
+    def beyond(self, txn):
+        """The design's refusal. A plan whose excess earns more than it costs is let in while room is plenty."""
+        account = txn.account
+        txn.inside = self.within(account, txn.units)
+        if txn.inside or (account.quota.pays and self.roomy()):
+            return False
+        self.hasten(account.rate)
+        return True
+
+    def may_decline(self, txn):
+        """Rule 2: a decline only where no earlier submission can have run, or a repeat is dropped everywhere."""
+        line = txn.line
+        return txn.risk_at is None or line.kind == t.INQUIRY or (line.kind == t.REFERENCED and line.group == t.ALL)
+
+    def again(self, txn):
+        """A further submission: from what is saved up, so that trouble everywhere starts no storm."""
+        return self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
+
+    def choose(self, txn):
+        """One app server drawn at random, odds in step with the room it is thought to have."""
+        pool = [(server, room) for server in self.lawful(txn) if (room := self.room(server)) > 0]
+        if not pool:
+            return None
+        sure = sum(self.odds(s) for s, _ in pool) / len(pool)
+        # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
+        # success, held against their peers', so when all fail alike none is condemned. Harm: a few lost txns.
+        sound = [(s, room) for s, room in pool
+                 if s.lost < 1.0 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
+        pool = sound or pool
+        draw = self.random() * sum(room for _, room in pool)
+        for server, room in pool:
+            draw -= room
+            if draw <= 0:
+                break
+        return server
+
+    def lawful(self, txn):
+        """The app servers that the rules leave for the txn's next submission: the one gate of every send."""
+        line, now, account = txn.line, self.now, txn.account
+        if txn.out or txn.expiry - now <= self.margin + MS:
+            return []
+        if not txn.sent and account.quota.fill > 0 and self.store(account) < txn.units:  # rule 5
+            return []
+        risky = txn.risk_at is not None
+        if risky and (line.kind == t.ONCE_ONLY
+                      or line.kind == t.REFERENCED and now + self.margin >= txn.risk_at + line.window):  # rule 2
+            return []
+        bound = risky and line.kind == t.REFERENCED
+        return [s for s in self.servers.values()
+                if s.state == t.UP  # rule 3, without the grace
+                and not (bound and (line.group == t.ZONE and s.zone != txn.risk_zone
+                                    or line.group == t.CELL and s.cell != txn.risk_cell))
+                and self.bears(s)]
+
+    def bears(self, server):
+        """Rule 4: in any span a cold app server gets from us no more than its least capacity, guessed from what
+        a warm one does for us, allows. All that was sent counts. Every node's guess is its own part of the
+        load, so the parts add up to what one app server does."""
+        ready = self.ready(server)
+        if ready >= 1.0:
+            return True
+        log = server.log
+        while log and log[0] <= self.now - self.span:
+            log.popleft()
+        warm = sum(1 for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0)
+        self.fade_done()
+        each = self.done_mass / (MEMORY / SEC) / max(1, warm)
+        return len(log) < max(1.0, self.cold_rate * ready * each)
+
+    # ---- effects
+
+    def submit(self, txn, server):
+        now, line = self.now, txn.line
+        if txn.sent:
+            self.spare -= 1.0
+        else:
+            self.spare = min(SPARE_MOST, self.spare + SPARE_RATE)
+            self.count(txn)
+        txn.sent += 1
+        txn.out += 1
+        server.out += 1
+        self.gauge(txn.account, 1)
+        if self.ready(server) < 1.0:
+            server.log.append(now)
+        if txn.risk_at is None:
+            txn.risk_zone, txn.risk_cell = server.zone, server.cell
+        left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
+        allow = rest if line.late > 0 or left <= 0 else min(left, rest)
+        # Guards against an app server that takes work and answers nothing: time is left for another submission.
+        # Not once typical times near that part, as when all are slow: a second submission would only add load.
+        if line.kind != t.ONCE_ONLY and txn.sent < self.most and line.mean * 3 < FIRST_PART * line.sla:
+            allow = min(allow, int(max(FIRST_PART * left, 3 * line.mean)))
+        self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
+
+    def settle(self, txn, found):
+        pass  # the answer reached the client by itself
+
+    def decline(self, txn, found):
+        quota, back = txn.account.quota, 0
+        if self.advice:
+            wait = txn.units / quota.rate * SEC if quota.rate > 0 else txn.line.mean
+            back = int(min(self.advice, max(wait, 100 * MS)))
+        self.effects.append(t.Decline(txn.id, back))
+
+    def void(self, txn, found):
+        self.effects.append(t.Void(txn.id))
+
+    # ---- quotas
+
+    def account(self, text, plan, nodes):
+        key = f"{plan}|{text}"
+        account = self.accounts.get(key)
+        if account is None:
+            account = self.accounts[key] = Account()
+            quota = account.quota = self.quotas[plan]
+            account.key, account.nodes, account.out, account.gauged_at = key, nodes, 0, self.now
+            account.rate = Ledger(key, quota.window, quota.limit, nodes, self.now) if quota.rate > 0 else None
+            account.gauge = (Ledger(key + "|out", GAUGE_WINDOW, quota.cap * GAUGE_WINDOW / SEC, nodes, self.now)
+                             if quota.cap > 0 else None)
+            # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
+            account.store, account.store_at = 0.0, self.began
+            self.remind(quota.idle, self.retire, account)
+        account.used_at = self.now
+        return account
+
+    def retire(self, account):
+        idle = self.now - account.used_at
+        if idle >= account.quota.idle and not account.out:
+            self.accounts.pop(account.key, None)
+        else:
+            self.remind(max(account.quota.idle - idle, SEC), self.retire, account)
+
+    def store(self, account):
+        """This node's share of the ceiling: 1/set size of rate and depth, so no agreement is needed."""
+        quota, part = account.quota, 1.0 / account.nodes
+        gain = quota.fill * part * (self.now - account.store_at) / SEC
+        account.store, account.store_at = min(quota.depth * part, account.store + gain), self.now
+        return account.store
+
+    def within(self, account, units):
+        ledger = account.rate
+        if ledger:
+            left = ledger.roll(self.now)
+            own = ledger.now.own + ledger.past.own * left
+            others = ledger.now.held + ledger.past.held * left
+            if own + others + units > ledger.limit + 1e-9:
+                return False
+            if not self.fresh(ledger) and own > 0 and own + units > ledger.limit / ledger.nodes:
+                return False
+        ledger = account.gauge
+        if ledger:
+            left = ledger.roll(self.now)
+            others = (ledger.now.held + ledger.past.held * left) * SEC / ledger.length
+            part = account.quota.cap / ledger.nodes
+            others = min(others, account.quota.cap - part) if self.fresh(ledger) else account.quota.cap - part
+            if account.out and account.out + others > account.quota.cap - 0.5:
+                return False
+        return True
+
+    def fresh(self, ledger):
+        """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
+        return self.counts and ledger.read_at is not None and self.now - ledger.read_at < STALE * TICK
+
+    def count(self, txn):
+        account = txn.account
+        if account.quota.fill > 0:
+            account.store -= txn.units
+        if account.rate and txn.inside:
+            account.rate.roll(self.now)
+            account.rate.now.own += txn.units
+            self.hasten(account.rate)
+
+    def gauge(self, account, change):
+        """What is out at once, as counts: time out adds up in short epochs, which forget a dead node's part."""
+        ledger = account.gauge
+        if ledger:
+            ledger.roll(self.now)
+            ledger.now.own += account.out * (self.now - account.gauged_at) / SEC
+            account.gauged_at = self.now
+            self.hasten(ledger)
+        account.out += change
+
+    def hasten(self, ledger):
+        """Sets an account's tick going; it stops by itself when nothing is used any more."""
+        if ledger and self.counts:
+            ledger.used_at = self.now
+            if not ledger.armed:
+                ledger.armed = True
+                wait = TICK * self.stretch if self.fresh(ledger) else FIRST_ADD
+                self.remind(self.uniform(0.8, 1.2) * wait, self.tick, ledger)
+
+    def tick(self, ledger):
+        ledger.roll(self.now)
+        self.flush(ledger, ledger.past)
+        self.flush(ledger, ledger.now)
+        ledger.armed = False
+        if self.now - ledger.used_at < TICK * self.stretch or ledger.now.doubt or ledger.now.flying:
+            ledger.armed = True
+            self.remind(self.uniform(0.8, 1.2) * TICK * self.stretch, self.tick, ledger)
+
+    def flush(self, ledger, window):
+        """Adds what has grown since the last successful add; the first add is also the first reading."""
+        grown = window.own - window.sent - window.doubt
+        if window.flying is None and (grown > 1e-6 or window.doubt) and self.mark(CALL):
+            window.flying = max(0.0, round(grown, 4))
+            name = ledger.name(window)
+            self.calls[name] = (ledger, window)
+            self.effects.append(t.Add(name, window.flying, min(3 * ledger.length, 60 * SEC)))
+
+    def on_counted(self, told):
+        ledger, window = self.calls.pop(told.name, (None, None))
+        if ledger is None:
+            return
+        amount, window.flying = window.flying, None
+        self.mark(ANSWER if told.how == t.DONE else FAILURE)
+        if told.how == t.TIMED_OUT:
+            window.doubt += amount  # may have landed: not sent again before the next total tells
+        if told.how != t.DONE:
+            return
+        slack = 1e-3 + 1e-6 * told.total
+        if told.total < window.seen + amount - slack:
+            # Guards against a counter that lost counts (all names or some, whatever the cause): the total is
+            # below what earlier ones imply. Our own adds are put back, the others put back theirs.
+            window.sent, window.doubt = amount, 0.0
+        else:
+            if told.total - window.sent - amount - window.doubt >= window.held - slack:
+                window.sent += window.doubt  # the add in doubt had landed
+            window.doubt = 0.0
+            window.sent += amount
+        window.held = max(window.held, told.total - window.sent)
+        window.seen = told.total
+        ledger.read_at = self.now
+
+    def mark(self, seen):
+        """Reads the counter's table; returns whether a call may be made."""
+        then, effect = COUNTER[self.counter, seen]
+        verdict = effect(self)
+        if verdict is not None:
+            self.counter = then
+        return verdict
+
+    def calm(self):
+        self.failures, self.stretch = 0, max(1.0, self.stretch * 0.98)
+        return True
+
+    def strain(self):
+        self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.1)
+        self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP)
+        return True if self.failures >= SICK_AFTER else None
+
+    def trial(self):
+        return True if self.now >= self.trial_at else None
+
+    def grant(self):
+        return True
+
+    def withhold(self):
+        return None
+
+    # ---- app servers
+
+    def ready(self, server):
+        """The least share of its capacity that an app server can have, by its age."""
+        age = self.now - server.born
+        if not server.born or age >= self.warm_within:
+            return 1.0
+        return self.cold + (1.0 - self.cold) * age / self.warm_within
+
+    def room(self, server):
+        room = (server.limit - server.out) * self.ready(server) / server.pace
+        return room if server.zone == self.zone else room * self.near
+
+    def roomy(self):
+        up = [s for s in self.servers.values() if s.state == t.UP]
+        return sum(s.out for s in up) < 0.5 * sum(s.limit for s in up)
+
+    def odds(self, server):
+        return (server.won + 1.0) / (server.won + server.lost + 2.0)
+
+    def fade(self, server):
+        keep = 0.5 ** ((self.now - server.judged_at) / MEMORY)
+        server.won, server.lost, server.judged_at = server.won * keep, server.lost * keep, self.now
+
+    def fade_done(self):
+        self.done_mass *= max(0.0, 1.0 - (self.now - self.done_at) / MEMORY)
+        self.done_at = self.now
+
+    def judge(self, server, txn, told):
+        line = txn.line
+        if told.how in (t.CANCELLED, t.UNSENT):
+            return
+        self.fade(server)
+        slow = told.took > 0.7 * line.sla
+        if told.how == t.DONE:
+            server.won += 1.0
+            line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
+            server.pace += 0.1 * (min(8.0, told.took / line.mean) - server.pace)
+            server.pace = max(0.4, server.pace)
+            if self.ready(server) >= 1.0:
+                self.fade_done()
+                self.done_mass += 1.0
+        else:
+            server.lost += 1.0
+            if told.how == t.TIMED_OUT and line.mean:
+                server.pace += 0.1 * (min(8.0, max(1.0, told.took / line.mean)) - server.pace)
+        if slow or told.how in (t.UNSEEN, t.TIMED_OUT):
+            # Guards against piling work on an app server that no longer keeps up, whatever slows it.
+            if self.now - server.cut_at > line.mean:
+                server.limit, server.cut_at = max(1.0, server.limit * 0.8), self.now
+        elif told.how == t.DONE and server.out + 1 >= 0.5 * server.limit:
+            server.limit += 0.5 / server.limit
+
+    def probe(self, server):
+        if server.state == t.REMOVED:
+            return
+        if server.state == t.UP and not server.probing:
+            server.probing = True
+            self.effects.append(t.Probe(server.id))
+        self.remind(self.uniform(0.8, 1.2) * SEC, self.probe, server)
+
+    def on_probed(self, told):
+        server = self.servers.get(told.server)
+        if server is None:
+            return
+        server.probing = False
+        if told.how != t.DONE:
+            # Guards against an app server that hangs: found before many txns are lost on it. A good probe
+            # proves nothing, since one that fails fast answers probes too.
+            self.fade(server)
+            server.lost += 1.0
+        self.let_go(server)
+
+
+# state, input: (guard, next state, effect) in the order tried
+TXN = {
+    (NEW, ARRIVED): ((Node.beyond, OVER, Node.decline),
+                     (Node.choose, OUT, Node.submit),
+                     (Node.always, OVER, Node.decline)),
+    (OUT, SETTLED): ((Node.always, OVER, Node.settle),),
+    (OUT, UNRUN): ((Node.again, OUT, Node.submit),
+                   (Node.may_decline, OVER, Node.decline),
+                   (Node.always, OVER, Node.void)),
+    (OUT, RISKY): ((Node.again, OUT, Node.submit),
+                   (Node.always, OVER, Node.void)),
+    (OUT, BEGAN): ((Node.always, STREAM, Node.settle),),
+    (OUT, LEFT): ((Node.always, OVER, Node.settle),),
+    (STREAM, SETTLED): ((Node.always, OVER, Node.settle),),
+    (STREAM, RISKY): ((Node.always, OVER, Node.void),),
+    (STREAM, LEFT): ((Node.always, OVER, Node.settle),),
+}
+# state, input: (next state, effect); an effect that gives None leaves the state and means no
+COUNTER = {
+    (WELL, CALL): (WELL, Node.grant),
+    (WELL, ANSWER): (WELL, Node.calm),
+    (WELL, FAILURE): (SICK, Node.strain),
+    (SICK, CALL): (TRIAL, Node.trial),
+    (SICK, ANSWER): (WELL, Node.calm),
+    (SICK, FAILURE): (SICK, Node.strain),
+    (TRIAL, CALL): (TRIAL, Node.withhold),
+    (TRIAL, ANSWER): (WELL, Node.calm),
+    (TRIAL, FAILURE): (SICK, Node.strain),
+}
+INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_began, t.Ended: Node.on_ended,
+          t.Left: Node.on_left, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
--- /dev/null
+++ b/rampfront/terms.py
@@ -0,0 +1,188 @@
+"""The interface of the decision module: the terms it starts under, what it is told, what it wants done.
+
+Nothing here decides anything. Times are whole nanoseconds. Txns and app servers are small indices that the
+caller hands out (and takes back once nothing can refer to them); an account stays text, because its digest
+names its counts. One `Node` of `choice.py` takes one input at a time and returns a list of effects.
+"""
+
+from dataclasses import dataclass, field
+
+# What a product allows once a submission may have run.
+INQUIRY, REFERENCED, ONCE_ONLY = range(3)
+# Which app servers drop the repeats of a referenced txn.
+ALL, ZONE, CELL = range(3)
+# How a submission, a probe or a call to the counter ended. UNSEEN: the far side never took it up.
+DONE, ERROR, UNSEEN, TIMED_OUT, BROKEN, CANCELLED, UNSENT = range(7)
+# What the server list says of an app server.
+UP, DRAINING, REMOVED = range(3)
+
+
+def slotted(cls):
+    return dataclass(slots=True)(cls)
+
+
+@slotted
+class Product:
+    kind: int
+    group: int
+    sla: int
+    repeat_window: int
+    late_share: float
+
+
+@slotted
+class Plan:
+    rate: float  # units a second; 0: no such quota
+    burst: float
+    at_once: int  # submissions out at once; 0: no such quota
+    ceiling_rate: float  # units a second; 0: no ceiling
+    ceiling_depth: float
+    beyond_earns: float
+    beyond_costs: float
+
+
+@slotted
+class Terms:
+    products: list
+    plans: list
+    nodes: int
+    zone: int
+    max_submissions: int
+    may_probe: bool
+    may_cancel: bool
+    has_counter: bool
+    subscribes: bool  # the server list must be asked for
+    ask_within: int
+    longest_advice: int  # 0: clients take no advice
+    tick: int  # shortest gap between two inputs
+    cold_share: float
+    warm_within: int
+    fall_multiple: float
+    tip_after: int
+    cross_zone_price: float
+
+
+# ---- inputs
+
+
+@slotted
+class Listed:
+    """A row of the server list."""
+    server: int
+    state: int
+    zone: int
+    cell: int
+    weight: float
+    came_up: int  # 0: long ago
+
+
+@slotted
+class ServerList:
+    whole: bool
+    failed: bool
+    rows: list = field(default_factory=list)
+
+
+@slotted
+class Arrival:
+    txn: int
+    product: int
+    plan: int
+    account: str
+    units: float
+    expires_in: int
+    set_size: int
+
+
+@slotted
+class Began:
+    """The answer has started to stream to the client."""
+    txn: int
+
+
+@slotted
+class Ended:
+    txn: int
+    server: int
+    how: int
+    took: int
+    final: bool
+    true_units: float  # 0: not told
+
+
+@slotted
+class Left:
+    """The client has gone; nothing is owed."""
+    txn: int
+
+
+@slotted
+class Due:
+    """A reminder that this node asked for."""
+    ref: int
+
+
+@slotted
+class Probed:
+    server: int
+    how: int
+    took: int
+    report: dict
+
+
+@slotted
+class Counted:
+    name: int
+    total: float
+    how: int
+    took: int
+
+
+# ---- effects
+
+
+@slotted
+class Submit:
+    txn: int
+    server: int
+    allow: int
+
+
+@slotted
+class Cancel:
+    """Stop waiting for the submission of the txn that is out."""
+    txn: int
+
+
+@slotted
+class Decline:
+    txn: int
+    back_in: int  # advice, 0: none
+
+
+@slotted
+class Void:
+    txn: int
+
+
+@slotted
+class Remind:
+    delay: int
+    ref: int
+
+
+@slotted
+class Probe:
+    server: int
+
+
+@slotted
+class Add:
+    name: int
+    amount: float
+    life: int
+
+
+@slotted
+class Subscribe:
+    pass
