--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -12,6 +12,7 @@
 
 from collections import deque
 from hashlib import blake2b
+from math import log
 from random import Random
 
 from . import terms as t
@@ -25,8 +26,8 @@
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 GAUGE_WINDOW = 2 * SEC  # epoch of the counts that stand for submissions out at once
-OPEN_START = 6.0  # submissions out at one app server before anything is known of it
-FIRST_PART = 0.55  # part of the SLA time that a submission gets when another may follow
+OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
+TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
@@ -101,8 +102,8 @@
     __slots__ = ("id", "state", "zone", "cell", "weight", "born", "out", "limit", "pace", "won", "lost",
                  "judged_at", "cut_at", "log", "probing")
 
-    def __init__(self, row):
-        self.id, self.out, self.limit, self.pace, self.won, self.lost = row.server, 0, OPEN_START, 1.0, 0.0, 0.0
+    def __init__(self, row, limit):
+        self.id, self.out, self.limit, self.pace, self.won, self.lost = row.server, 0, limit, 1.0, 0.0, 0.0
         self.judged_at = self.cut_at = self.born = 0
         self.log, self.probing = deque(), False
 
@@ -123,7 +124,8 @@
         self.margin = 2 * terms.tick
         self.near = 1.0 / (1.0 + 100.0 * terms.cross_zone_price)
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
-        self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after / SEC
+        self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
+        self.start = OPEN_START / terms.nodes
         self.began, self.now, self.effects = now, now, []
         self.txns = {}  # open txns; emptied by their final answer and the end of their last submission
         self.servers = {}  # emptied as the list drops them, once nothing of ours is out there
@@ -133,7 +135,7 @@
         self.ref = 0
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.spare = SPARE_MOST
-        self.done_mass, self.done_at = 0.0, now  # fading count of txns settled by warm app servers
+        self.each, self.each_at = 0.0, now  # fading count of txns that a warm app server settled for us
 
     # ---- inputs
 
@@ -174,12 +176,12 @@
                     self.remove(server)
                 continue
             if server is None:
-                server = self.servers[row.server] = Server(row)
+                server = self.servers[row.server] = Server(row, self.start)
                 if self.probes:
                     self.remind(self.uniform(0.0, 1.0) * SEC, self.probe, server)
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
-                server.pace, server.limit = 1.0, OPEN_START
+                server.pace, server.limit = 1.0, self.start
                 server.log.clear()
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell, server.weight = row.zone, row.cell, row.weight
@@ -311,13 +313,13 @@
         ready = self.ready(server)
         if ready >= 1.0:
             return True
-        log = server.log
-        while log and log[0] <= self.now - self.span:
-            log.popleft()
-        warm = sum(1 for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0)
-        self.fade_done()
-        each = self.done_mass / (MEMORY / SEC) / max(1, warm)
-        return len(log) < max(1.0, self.cold_rate * ready * each)
+        while server.log and server.log[0] <= self.now - self.span:
+            server.log.popleft()
+        if self.now - self.each_at > SEC // 10:  # with none warm, the last guess stands
+            warm = [s for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0]
+            self.each_at = self.now
+            self.each = sum(self.fade(s) for s in warm) / len(warm) if warm else self.each
+        return len(server.log) < max(1.0, self.cold_rate * ready * self.each)
 
     # ---- effects
 
@@ -340,8 +342,8 @@
         allow = rest if line.late > 0 or left <= 0 else min(left, rest)
         # Guards against an app server that takes work and answers nothing: time is left for another submission.
         # Not once typical times near that part, as when all are slow: a second submission would only add load.
-        if line.kind != t.ONCE_ONLY and txn.sent < self.most and line.mean * 3 < FIRST_PART * line.sla:
-            allow = min(allow, int(max(FIRST_PART * left, 3 * line.mean)))
+        if line.kind != t.ONCE_ONLY and txn.sent < self.most and left > 3 * TYPICAL * line.mean > 0:
+            allow = min(allow, int(left - TYPICAL * line.mean))
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
 
     def settle(self, txn, found):
@@ -532,10 +534,7 @@
     def fade(self, server):
         keep = 0.5 ** ((self.now - server.judged_at) / MEMORY)
         server.won, server.lost, server.judged_at = server.won * keep, server.lost * keep, self.now
-
-    def fade_done(self):
-        self.done_mass *= max(0.0, 1.0 - (self.now - self.done_at) / MEMORY)
-        self.done_at = self.now
+        return server.won
 
     def judge(self, server, txn, told):
         line = txn.line
@@ -548,9 +547,6 @@
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
             server.pace += 0.1 * (min(8.0, told.took / line.mean) - server.pace)
             server.pace = max(0.4, server.pace)
-            if self.ready(server) >= 1.0:
-                self.fade_done()
-                self.done_mass += 1.0
         else:
             server.lost += 1.0
             if told.how == t.TIMED_OUT and line.mean:
@@ -558,7 +554,7 @@
         if slow or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
             if self.now - server.cut_at > line.mean:
-                server.limit, server.cut_at = max(1.0, server.limit * 0.8), self.now
+                server.limit, server.cut_at = max(0.5 * self.start, server.limit * 0.8), self.now
         elif told.how == t.DONE and server.out + 1 >= 0.5 * server.limit:
             server.limit += 0.5 / server.limit
 
