--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -21,11 +21,12 @@
 
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
+GAUGE_TICK = TICK // 4  # the same for what is out at once, which changes faster
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 4  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
-GAUGE_WINDOW = 2 * SEC  # epoch of the counts that stand for submissions out at once
+GAUGE_WINDOW = SEC  # epoch of the counts that stand for submissions out at once
 OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
@@ -72,10 +73,10 @@
 
 class Ledger:
     """Counts of one account against one limit, in the current and the previous window."""
-    __slots__ = ("key", "length", "limit", "nodes", "now", "past", "read_at", "armed", "used_at")
+    __slots__ = ("key", "length", "limit", "nodes", "pause", "now", "past", "read_at", "armed", "used_at")
 
-    def __init__(self, key, length, limit, nodes, now):
-        self.key, self.length, self.limit, self.nodes = key, length, limit, nodes
+    def __init__(self, key, length, limit, nodes, pause, now):
+        self.key, self.length, self.limit, self.nodes, self.pause = key, length, limit, nodes, pause
         self.now, self.past = Window(now // length), Window(now // length - 1)
         self.read_at, self.armed, self.used_at = None, False, now
 
@@ -368,8 +369,8 @@
             account = self.accounts[key] = Account()
             quota = account.quota = self.quotas[plan]
             account.key, account.nodes, account.out, account.gauged_at = key, nodes, 0, self.now
-            account.rate = Ledger(key, quota.window, quota.limit, nodes, self.now) if quota.rate > 0 else None
-            account.gauge = (Ledger(key + "|out", GAUGE_WINDOW, quota.cap * GAUGE_WINDOW / SEC, nodes, self.now)
+            account.rate = Ledger(key, quota.window, quota.limit, nodes, TICK, self.now) if quota.rate > 0 else None
+            account.gauge = (Ledger(key + "|out", GAUGE_WINDOW, quota.cap, nodes, GAUGE_TICK, self.now)
                              if quota.cap > 0 else None)
             # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
             account.store, account.store_at = 0.0, self.began
@@ -413,7 +414,7 @@
 
     def fresh(self, ledger):
         """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
-        return self.counts and ledger.read_at is not None and self.now - ledger.read_at < STALE * TICK
+        return self.counts and ledger.read_at is not None and self.now - ledger.read_at < STALE * ledger.pause
 
     def count(self, txn):
         account = txn.account
@@ -440,7 +441,7 @@
             ledger.used_at = self.now
             if not ledger.armed:
                 ledger.armed = True
-                wait = TICK * self.stretch if self.fresh(ledger) else FIRST_ADD
+                wait = ledger.pause * self.stretch if self.fresh(ledger) else FIRST_ADD
                 self.remind(self.uniform(0.8, 1.2) * wait, self.tick, ledger)
 
     def tick(self, ledger):
@@ -448,9 +449,9 @@
         self.flush(ledger, ledger.past)
         self.flush(ledger, ledger.now)
         ledger.armed = False
-        if self.now - ledger.used_at < TICK * self.stretch or ledger.now.doubt or ledger.now.flying:
+        if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
             ledger.armed = True
-            self.remind(self.uniform(0.8, 1.2) * TICK * self.stretch, self.tick, ledger)
+            self.remind(self.uniform(0.8, 1.2) * ledger.pause * self.stretch, self.tick, ledger)
 
     def flush(self, ledger, window):
         """Adds what has grown since the last successful add; the first add is also the first reading."""
