--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -28,6 +28,7 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 GAUGE_WINDOW = SEC  # epoch of the counts that stand for submissions out at once
 OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
+SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
@@ -101,11 +102,11 @@
     """`won` and `lost` are fading counts of what it did with our work, `limit` how much of ours it bears at
     once, `pace` its time for a txn over that of all, `log` what it was sent while cold."""
     __slots__ = ("id", "state", "zone", "cell", "weight", "born", "out", "limit", "pace", "won", "lost",
-                 "judged_at", "cut_at", "log", "probing")
+                 "judged_at", "log", "probing")
 
     def __init__(self, row, limit):
         self.id, self.out, self.limit, self.pace, self.won, self.lost = row.server, 0, limit, 1.0, 0.0, 0.0
-        self.judged_at = self.cut_at = self.born = 0
+        self.judged_at = self.born = 0
         self.log, self.probing = deque(), False
 
 
@@ -542,7 +543,7 @@
         if told.how in (t.CANCELLED, t.UNSENT):
             return
         self.fade(server)
-        slow = told.took > 0.7 * line.sla
+        slow = told.took > SLOW * line.sla
         if told.how == t.DONE:
             server.won += 1.0
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
@@ -554,10 +555,9 @@
                 server.pace += 0.1 * (min(8.0, max(1.0, told.took / line.mean)) - server.pace)
         if slow or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
-            if self.now - server.cut_at > line.mean:
-                server.limit, server.cut_at = max(0.5 * self.start, server.limit * 0.8), self.now
+            server.limit = max(0.25 * self.start, server.limit * 0.8)
         elif told.how == t.DONE and server.out + 1 >= 0.5 * server.limit:
-            server.limit += 0.5 / server.limit
+            server.limit += 0.02 * self.start * self.start / server.limit
 
     def probe(self, server):
         if server.state == t.REMOVED:
