--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -21,6 +21,7 @@
 
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
+EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 GAUGE_TICK = TICK // 4  # the same for what is out at once, which changes faster
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 4  # longest tick, in ticks, while the counter is crowded
@@ -423,8 +424,11 @@
             account.store -= txn.units
         if account.rate and txn.inside:
             account.rate.roll(self.now)
-            account.rate.now.own += txn.units
+            window = account.rate.now
+            window.own += txn.units
             self.hasten(account.rate)
+            if window.own - window.sent - window.doubt > EARLY * account.rate.limit / account.nodes:
+                self.flush(account.rate, window)
 
     def gauge(self, account, change):
         """What is out at once, as counts: time out adds up in short epochs, which forget a dead node's part."""
