--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -10,12 +10,12 @@
 Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds.
 """
 
-from collections import deque
 from hashlib import blake2b
 from math import log
 from random import Random
 
 from . import terms as t
+from .state import Account, Ledger, Server, Txn, Window
 
 MS, SEC = 10 ** 6, 10 ** 9
 
@@ -27,7 +27,7 @@
 STRETCH = 4  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
-GAUGE_WINDOW = SEC  # epoch of the counts that stand for submissions out at once
+EPOCH = SEC  # epoch of the counts that stand for submissions out at once
 OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
@@ -60,60 +60,7 @@
         self.limit = plan.rate * self.window / SEC
         self.pays = plan.beyond_earns > plan.beyond_costs
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
-        self.idle = max(2 * self.window, 2 * GAUGE_WINDOW, refill)
-
-
-class Window:
-    """Counts of one window: own, the part of it added (`sent`), added or not (`doubt`), under way (`flying`,
-    None: no call); others' (`held`); the last total (`seen`)."""
-    __slots__ = ("number", "own", "sent", "doubt", "flying", "held", "seen")
-
-    def __init__(self, number):
-        self.number, self.own, self.sent, self.doubt, self.flying = number, 0.0, 0.0, 0.0, None
-        self.held = self.seen = 0.0
-
-
-class Ledger:
-    """Counts of one account against one limit, in the current and the previous window."""
-    __slots__ = ("key", "length", "limit", "nodes", "pause", "now", "past", "read_at", "armed", "used_at")
-
-    def __init__(self, key, length, limit, nodes, pause, now):
-        self.key, self.length, self.limit, self.nodes, self.pause = key, length, limit, nodes, pause
-        self.now, self.past = Window(now // length), Window(now // length - 1)
-        self.read_at, self.armed, self.used_at = None, False, now
-
-    def roll(self, now):
-        """Ages windows out; returns what is left of the past window's weight."""
-        number = now // self.length
-        if number != self.now.number:
-            self.past = self.now if number == self.now.number + 1 else Window(number - 1)
-            self.now = Window(number)
-        return 1.0 - (now % self.length) / self.length
-
-    def name(self, window):
-        return int.from_bytes(blake2b(f"{self.key}|{window.number}".encode(), digest_size=8).digest(), "big") >> 1
-
-
-class Account:
-    """`store` is this node's own share of the ceiling, as of `store_at`."""
-    __slots__ = ("key", "quota", "nodes", "rate", "gauge", "out", "gauged_at", "store", "store_at", "used_at")
-
-
-class Server:
-    """`won` and `lost` are fading counts of what it did with our work, `limit` how much of ours it bears at
-    once, `pace` its time for a txn over that of all, `log` what it was sent while cold."""
-    __slots__ = ("id", "state", "zone", "cell", "weight", "born", "out", "limit", "pace", "won", "lost",
-                 "judged_at", "log", "probing")
-
-    def __init__(self, row, limit):
-        self.id, self.out, self.limit, self.pace, self.won, self.lost = row.server, 0, limit, 1.0, 0.0, 0.0
-        self.judged_at = self.born = 0
-        self.log, self.probing = deque(), False
-
-
-class Txn:
-    __slots__ = ("id", "line", "account", "units", "came", "expiry", "state", "sent", "out", "risk_at",
-                 "risk_zone", "risk_cell", "inside")
+        self.idle = max(2 * self.window, 2 * EPOCH, refill)
 
 
 class Node:
@@ -179,7 +126,7 @@
                     self.remove(server)
                 continue
             if server is None:
-                server = self.servers[row.server] = Server(row, self.start)
+                server = self.servers[row.server] = Server(row.server, self.start)
                 if self.probes:
                     self.remind(self.uniform(0.0, 1.0) * SEC, self.probe, server)
             if row.came_up != server.born:  # another process: what was known of the old one is void
@@ -187,7 +134,7 @@
                 server.pace, server.limit = 1.0, self.start
                 server.log.clear()
             server.state, server.born = row.state, row.came_up
-            server.zone, server.cell, server.weight = row.zone, row.cell, row.weight
+            server.zone, server.cell = row.zone, row.cell
 
     def remove(self, server):
         server.state = t.REMOVED
@@ -201,13 +148,9 @@
         self.effects.append(t.Subscribe())
 
     def on_arrival(self, told):
-        txn = Txn()
-        txn.id, txn.line, txn.units = told.txn, self.lines[told.product], told.units
-        txn.account = self.account(told.account, told.plan, told.set_size)
-        txn.came, txn.expiry, txn.state = self.now, self.now + told.expires_in, NEW
-        txn.sent = txn.out = 0
-        txn.risk_at = None
-        self.txns[txn.id] = txn
+        account = self.account(told.account, told.plan, told.set_size)
+        txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
+                                        self.now + told.expires_in, NEW)
         self.step(txn, ARRIVED)
 
     def on_began(self, told):
@@ -230,7 +173,7 @@
             self.let_go(server)
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
             ledger = txn.account.rate
-            ledger.roll(self.now)
+            self.roll(ledger)
             ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
         if told.how not in (t.UNSEEN, t.UNSENT) and txn.risk_at is None:
             txn.risk_at = self.now - told.took
@@ -368,18 +311,27 @@
         key = f"{plan}|{text}"
         account = self.accounts.get(key)
         if account is None:
-            account = self.accounts[key] = Account()
-            quota = account.quota = self.quotas[plan]
-            account.key, account.nodes, account.out, account.gauged_at = key, nodes, 0, self.now
-            account.rate = Ledger(key, quota.window, quota.limit, nodes, TICK, self.now) if quota.rate > 0 else None
-            account.gauge = (Ledger(key + "|out", GAUGE_WINDOW, quota.cap, nodes, GAUGE_TICK, self.now)
-                             if quota.cap > 0 else None)
+            quota, now = self.quotas[plan], self.now
+            rate = self.ledger(key, quota.window, quota.limit, nodes, TICK) if quota.rate > 0 else None
+            gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, GAUGE_TICK) if quota.cap > 0 else None
             # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
-            account.store, account.store_at = 0.0, self.began
+            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began, now)
             self.remind(quota.idle, self.retire, account)
         account.used_at = self.now
         return account
 
+    def ledger(self, key, length, limit, nodes, pause):
+        number = self.now // length
+        return Ledger(key, length, limit, nodes, pause, self.now, Window(number), Window(number - 1))
+
+    def roll(self, ledger):
+        """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
+        number = self.now // ledger.length
+        if number != ledger.now.number:
+            ledger.past = ledger.now if number == ledger.now.number + 1 else Window(number - 1)
+            ledger.now = Window(number)
+        return 1.0 - (self.now % ledger.length) / ledger.length
+
     def retire(self, account):
         idle = self.now - account.used_at
         if idle >= account.quota.idle and not account.out:
@@ -397,7 +349,7 @@
     def within(self, account, units):
         ledger = account.rate
         if ledger:
-            left = ledger.roll(self.now)
+            left = self.roll(ledger)
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
             if own + others + units > ledger.limit + 1e-9:
@@ -406,7 +358,7 @@
                 return False
         ledger = account.gauge
         if ledger:
-            left = ledger.roll(self.now)
+            left = self.roll(ledger)
             others = (ledger.now.held + ledger.past.held * left) * SEC / ledger.length
             part = account.quota.cap / ledger.nodes
             others = min(others, account.quota.cap - part) if self.fresh(ledger) else account.quota.cap - part
@@ -423,7 +375,7 @@
         if account.quota.fill > 0:
             account.store -= txn.units
         if account.rate and txn.inside:
-            account.rate.roll(self.now)
+            self.roll(account.rate)
             window = account.rate.now
             window.own += txn.units
             self.hasten(account.rate)
@@ -434,7 +386,7 @@
         """What is out at once, as counts: time out adds up in short epochs, which forget a dead node's part."""
         ledger = account.gauge
         if ledger:
-            ledger.roll(self.now)
+            self.roll(ledger)
             ledger.now.own += account.out * (self.now - account.gauged_at) / SEC
             account.gauged_at = self.now
             self.hasten(ledger)
@@ -450,7 +402,7 @@
                 self.remind(self.uniform(0.8, 1.2) * wait, self.tick, ledger)
 
     def tick(self, ledger):
-        ledger.roll(self.now)
+        self.roll(ledger)
         self.flush(ledger, ledger.past)
         self.flush(ledger, ledger.now)
         ledger.armed = False
@@ -463,7 +415,8 @@
         grown = window.own - window.sent - window.doubt
         if window.flying is None and (grown > 1e-6 or window.doubt) and self.mark(CALL):
             window.flying = max(0.0, round(grown, 4))
-            name = ledger.name(window)
+            digest = blake2b(f"{ledger.key}|{window.number}".encode(), digest_size=8).digest()
+            name = int.from_bytes(digest, "big") >> 1  # the same at every node
             self.calls[name] = (ledger, window)
             self.effects.append(t.Add(name, window.flying, min(3 * ledger.length, 60 * SEC)))
 
--- /dev/null
+++ b/rampfront/state.py
@@ -0,0 +1,81 @@
+"""What a node remembers, as plain rows; `choice.py` alone reads and changes them and says what empties them."""
+
+from collections import deque
+from dataclasses import field
+
+from .terms import slotted
+
+
+@slotted
+class Window:
+    """Counts of one window of one account."""
+    number: int
+    own: float = 0.0  # counted here
+    sent: float = 0.0  # the part of it that the counter has
+    doubt: float = 0.0  # the part that it may or may not have
+    flying: float | None = None  # the part in a call under way; None: no call
+    held: float = 0.0  # the others' part
+    seen: float = 0.0  # the last total
+
+
+@slotted
+class Ledger:
+    """Counts of one account against one limit: windows of `length`, told every `pause` or so."""
+    key: str
+    length: int
+    limit: float
+    nodes: int
+    pause: int
+    used_at: int
+    now: Window
+    past: Window
+    read_at: int | None = None
+    armed: bool = False  # its tick is set
+
+
+@slotted
+class Account:
+    key: str
+    quota: object
+    nodes: int
+    used_at: int
+    rate: Ledger | None
+    gauge: Ledger | None
+    store_at: int
+    gauged_at: int
+    store: float = 0.0  # this node's own share of the ceiling
+    out: int = 0  # submissions out
+
+
+@slotted
+class Server:
+    id: int
+    limit: float  # how much of our work it bears at once
+    state: int = 0
+    zone: int = 0
+    cell: int = 0
+    born: int = 0
+    out: int = 0
+    pace: float = 1.0  # its time for a txn over that of all
+    won: float = 0.0  # fading counts of what it did with our work
+    lost: float = 0.0
+    judged_at: int = 0
+    log: deque = field(default_factory=deque)  # what it was sent while cold
+    probing: bool = False
+
+
+@slotted
+class Txn:
+    id: int
+    line: object
+    account: Account
+    units: float
+    came: int
+    expiry: int
+    state: str
+    sent: int = 0
+    out: int = 0
+    risk_at: int | None = None  # when the first submission that may have run was sent
+    risk_zone: int = 0
+    risk_cell: int = 0
+    inside: bool = False  # counted against the quota
