--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -22,12 +22,12 @@
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
-GAUGE_TICK = TICK // 4  # the same for what is out at once, which changes faster
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 4  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
-EPOCH = SEC  # epoch of the counts that stand for submissions out at once
+EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
+LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
 OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
@@ -313,9 +313,9 @@
         if account is None:
             quota, now = self.quotas[plan], self.now
             rate = self.ledger(key, quota.window, quota.limit, nodes, TICK) if quota.rate > 0 else None
-            gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, GAUGE_TICK) if quota.cap > 0 else None
+            gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH) if quota.cap > 0 else None
             # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
-            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began, now)
+            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began)
             self.remind(quota.idle, self.retire, account)
         account.used_at = self.now
         return account
@@ -356,15 +356,20 @@
                 return False
             if not self.fresh(ledger) and own > 0 and own + units > ledger.limit / ledger.nodes:
                 return False
-        ledger = account.gauge
-        if ledger:
-            left = self.roll(ledger)
-            others = (ledger.now.held + ledger.past.held * left) * SEC / ledger.length
-            part = account.quota.cap / ledger.nodes
-            others = min(others, account.quota.cap - part) if self.fresh(ledger) else account.quota.cap - part
-            if account.out and account.out + others > account.quota.cap - 0.5:
-                return False
-        return True
+        return account.gauge is None or self.below_cap(account, account.gauge)
+
+    def below_cap(self, account, ledger):
+        """A cap on submissions out at once, by the last total of this epoch; the first that is out tells anew."""
+        left = self.roll(ledger)
+        age = self.now - ledger.read_at if ledger.read_at is not None else EPOCH
+        others = ledger.now.held if (1.0 - left) * EPOCH > LEVEL_FRESH else max(ledger.now.held, ledger.past.held)
+        if self.counter != WELL or age > LEVEL_FRESH:
+            others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
+        if account.out + others < ledger.limit:
+            return True
+        if age > LEVEL_FRESH // 2:
+            self.level(account, ledger, True)
+        return False
 
     def fresh(self, ledger):
         """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
@@ -383,14 +388,35 @@
                 self.flush(account.rate, window)
 
     def gauge(self, account, change):
-        """What is out at once, as counts: time out adds up in short epochs, which forget a dead node's part."""
-        ledger = account.gauge
-        if ledger:
-            self.roll(ledger)
-            ledger.now.own += account.out * (self.now - account.gauged_at) / SEC
-            account.gauged_at = self.now
-            self.hasten(ledger)
         account.out += change
+        if account.gauge:
+            self.roll(account.gauge)
+            self.level(account, account.gauge)
+
+    def level(self, account, ledger, ask=False):
+        """Brings our part of the epoch's count to what is out now, by adds that may fall; with a new epoch anew."""
+        window = ledger.now
+        change = account.out - window.sent
+        if window.flying is None and (change or ask) and self.mark(CALL):
+            self.call(ledger, window, change, account)
+        if account.out and not ledger.armed:
+            ledger.armed = True
+            self.remind(EPOCH - self.now % EPOCH + self.uniform(0.0, 20.0) * MS, self.new_epoch, account, ledger)
+
+    def new_epoch(self, account, ledger):
+        ledger.armed = False
+        self.roll(ledger)
+        self.level(account, ledger)
+
+    def on_level(self, account, ledger, window, amount, told):
+        """A timed-out add counts as landed: a wrong guess is off by one and gone with the epoch."""
+        if told.how in (t.DONE, t.TIMED_OUT):
+            window.sent += amount
+        if told.how == t.DONE:
+            window.sent = min(window.sent, max(0.0, told.total))  # a lower total is a loss: ours is put back
+            window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
+            if window is ledger.now:
+                self.level(account, ledger)
 
     def hasten(self, ledger):
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
@@ -414,18 +440,22 @@
         """Adds what has grown since the last successful add; the first add is also the first reading."""
         grown = window.own - window.sent - window.doubt
         if window.flying is None and (grown > 1e-6 or window.doubt) and self.mark(CALL):
-            window.flying = max(0.0, round(grown, 4))
-            digest = blake2b(f"{ledger.key}|{window.number}".encode(), digest_size=8).digest()
-            name = int.from_bytes(digest, "big") >> 1  # the same at every node
-            self.calls[name] = (ledger, window)
-            self.effects.append(t.Add(name, window.flying, min(3 * ledger.length, 60 * SEC)))
+            self.call(ledger, window, max(0.0, round(grown, 4)))
+
+    def call(self, ledger, window, amount, account=None):
+        digest = blake2b(f"{ledger.key}|{window.number}".encode(), digest_size=8).digest()
+        name = int.from_bytes(digest, "big") >> 1  # the same at every node
+        self.calls[name], window.flying = (ledger, window, account), amount
+        self.effects.append(t.Add(name, amount, min(3 * ledger.length, 60 * SEC)))
 
     def on_counted(self, told):
-        ledger, window = self.calls.pop(told.name, (None, None))
+        ledger, window, account = self.calls.pop(told.name, (None, None, None))
         if ledger is None:
             return
         amount, window.flying = window.flying, None
         self.mark(ANSWER if told.how == t.DONE else FAILURE)
+        if account:
+            return self.on_level(account, ledger, window, amount, told)
         if told.how == t.TIMED_OUT:
             window.doubt += amount  # may have landed: not sent again before the next total tells
         if told.how != t.DONE:
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -42,7 +42,6 @@
     rate: Ledger | None
     gauge: Ledger | None
     store_at: int
-    gauged_at: int
     store: float = 0.0  # this node's own share of the ceiling
     out: int = 0  # submissions out
 
