--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -21,10 +21,9 @@
 
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
-FLOOR = 0.5  # part of its share of the limit below which an edge node tells and asks nothing
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
-STRETCH = 4  # longest tick, in ticks, while the counter is crowded
+STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
@@ -385,7 +384,7 @@
             window = account.rate.now
             window.own += txn.units
             self.hasten(account.rate)
-            if window.own - window.sent - window.doubt > EARLY * account.rate.limit / account.nodes:
+            if window.own - window.sent - window.doubt > EARLY * self.stretch * account.rate.limit / account.nodes:
                 self.flush(account.rate, window)
 
     def gauge(self, account, change):
@@ -425,16 +424,13 @@
             ledger.used_at = self.now
             if not ledger.armed:
                 ledger.armed = True
-                wait = ledger.pause * self.stretch if self.fresh(ledger) else FIRST_ADD
+                wait = ledger.pause * self.stretch if self.fresh(ledger) else FIRST_ADD * self.stretch
                 self.remind(self.uniform(0.8, 1.2) * wait, self.tick, ledger)
 
     def tick(self, ledger):
-        left = self.roll(ledger)
-        # The source's filter: use so low cannot push another node past the limit, and here stays in its share.
-        # Guards against accounts seen once that swamp the counter. Harm: up to FLOOR of a limit goes untold.
-        if ledger.now.own + ledger.past.own * left >= FLOOR * ledger.limit / ledger.nodes:
-            self.flush(ledger, ledger.past)
-            self.flush(ledger, ledger.now)
+        self.roll(ledger)
+        self.flush(ledger, ledger.past)
+        self.flush(ledger, ledger.now)
         ledger.armed = False
         if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
             ledger.armed = True
@@ -487,11 +483,11 @@
         return verdict
 
     def calm(self):
-        self.failures, self.stretch = 0, max(1.0, self.stretch * 0.98)
+        self.failures, self.stretch = 0, max(1.0, self.stretch * 0.99)
         return True
 
     def strain(self):
-        self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.1)
+        self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.25)
         self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP)
         return True if self.failures >= SICK_AFTER else None
 
