--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -439,7 +439,8 @@
     def flush(self, ledger, window):
         """Adds what has grown since the last successful add; the first add is also the first reading."""
         grown = window.own - window.sent - window.doubt
-        if window.flying is None and (grown > 1e-6 or window.doubt) and self.mark(CALL):
+        asks = window is ledger.now and not self.fresh(ledger)  # nothing grew, but the others' part is not known
+        if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
             self.call(ledger, window, max(0.0, round(grown, 4)))
 
     def call(self, ledger, window, amount, account=None):
