--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -352,10 +352,15 @@
             left = self.roll(ledger)
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
+            if not self.fresh(ledger):
+                # Guards against a counter that is silent, slow, crowded or pacing us: held figures stand still,
+                # so the others are taken to go on as when last read, leaving us our fair share at least.
+                # Harm: a customer that moved to us entirely is held to that share until it is read again.
+                fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
+                others = max(others, fair if ledger.read_at is None else min(ledger.others, fair))
+                others = others if own > 0 else 0.0
             if own + others + units > ledger.limit + 1e-9:
                 return False
-            if not self.fresh(ledger) and own > 0 and own + units > ledger.limit / ledger.nodes:
-                return False
         return account.gauge is None or self.below_cap(account, account.gauge)
 
     def below_cap(self, account, ledger):
@@ -472,8 +477,8 @@
             window.doubt = 0.0
             window.sent += amount
         window.held = max(window.held, told.total - window.sent)
-        window.seen = told.total
-        ledger.read_at = self.now
+        window.seen, ledger.read_at = told.total, self.now
+        ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
 
     def mark(self, seen):
         """Reads the counter's table; returns whether a call may be made."""
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -30,6 +30,7 @@
     now: Window
     past: Window
     read_at: int | None = None
+    others: float = 0.0  # the others' part as it was then
     armed: bool = False  # its tick is set
 
 
