--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -218,8 +218,11 @@
 
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
-        pool = [(server, room) for server in self.lawful(txn) if (room := self.room(server)) > 0]
-        if not pool:
+        lawful = self.lawful(txn)
+        pool = [(server, room) for server in lawful if (room := self.room(server)) > 0]
+        # Guards against many nodes that each have little room at an app server and fill it together: one out
+        # is more than a small limit, so what is over counts against the rest.
+        if not pool or sum(max(-1.0, s.limit * self.ready(s) - s.out) for s in lawful) <= 0:
             return None
         sure = sum(self.odds(s) for s, _ in pool) / len(pool)
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
