--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -37,13 +37,12 @@
 
 NEW, OUT, STREAM, OVER = "new", "out", "stream", "over"
 ARRIVED, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "settled", "unrun", "risky", "began", "left"
-WELL, SICK, TRIAL = "well", "sick", "trial"
+WELL, SICK = "well", "sick"
 ANSWER, FAILURE, CALL = "answer", "failure", "call"
 
 
 class Line:
     """A product: what its txns may do, and how long they lately took (`mean`)."""
-    __slots__ = ("kind", "group", "sla", "window", "late", "mean")
 
     def __init__(self, product):
         self.kind, self.group, self.sla = product.kind, product.group, product.sla
@@ -52,7 +51,6 @@
 
 class Quota:
     """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
-    __slots__ = ("rate", "window", "limit", "cap", "fill", "depth", "pays", "idle")
 
     def __init__(self, plan):
         self.rate, self.cap, self.fill, self.depth = plan.rate, plan.at_once, plan.ceiling_rate, plan.ceiling_depth
@@ -71,7 +69,7 @@
         self.quotas = [Quota(plan) for plan in terms.plans]
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
-        self.margin = 2 * terms.tick
+        self.margin, self.cancels = 2 * terms.tick, terms.may_cancel
         self.near = 1.0 / (1.0 + 100.0 * terms.cross_zone_price)
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
@@ -91,10 +89,12 @@
 
     def begin(self, now):
         self.now, self.effects = now, []
-        if self.subscribes:
-            self.effects.append(t.Subscribe())
+        self.ask()
         return self.effects
 
+    def ask(self):
+        self.effects += [t.Subscribe()] if self.subscribes else []
+
     def take(self, now, told):
         self.now, self.effects = now, []
         INPUTS[type(told)](self, told)
@@ -112,19 +112,16 @@
 
     def on_list(self, told):
         if told.failed:
-            if self.subscribes:
-                self.remind(self.uniform(0.5, 1.0) * SEC, self.ask)
-            return
-        if told.whole:
-            named = {row.server for row in told.rows}
-            for server in [s for s in self.servers.values() if s.id not in named]:
-                self.remove(server)
+            return self.remind(self.uniform(0.5, 1.0) * SEC, self.ask)
+        named = {row.server: row.state for row in told.rows}
+        for server in list(self.servers.values()):  # a whole list removes what it leaves out
+            if named.get(server.id, t.REMOVED if told.whole else t.UP) == t.REMOVED:
+                server.state = t.REMOVED
+                self.let_go(server)
         for row in told.rows:
-            server = self.servers.get(row.server)
             if row.state == t.REMOVED:
-                if server:
-                    self.remove(server)
                 continue
+            server = self.servers.get(row.server)
             if server is None:
                 server = self.servers[row.server] = Server(row.server, self.start)
                 if self.probes:
@@ -136,30 +133,19 @@
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
 
-    def remove(self, server):
-        server.state = t.REMOVED
-        self.let_go(server)
-
     def let_go(self, server):
         if server.state == t.REMOVED and not server.out and not server.probing:
             self.servers.pop(server.id, None)
 
-    def ask(self):
-        self.effects.append(t.Subscribe())
-
     def on_arrival(self, told):
         account = self.account(told.account, told.plan, told.set_size)
         txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
                                         self.now + told.expires_in, NEW)
         self.step(txn, ARRIVED)
 
-    def on_began(self, told):
+    def on_word(self, told):
         if told.txn in self.txns:
-            self.step(self.txns[told.txn], BEGAN)
-
-    def on_left(self, told):
-        if told.txn in self.txns:
-            self.step(self.txns[told.txn], LEFT)
+            self.step(self.txns[told.txn], BEGAN if type(told) is t.Began else LEFT)
 
     def on_ended(self, told):
         txn, server = self.txns.get(told.txn), self.servers.get(told.server)
@@ -195,16 +181,16 @@
 
     # ---- guards
 
-    def always(self, txn):
+    def always(self, txn=None):
         return True
 
     def beyond(self, txn):
         """The design's refusal. A plan whose excess earns more than it costs is let in while room is plenty."""
         account = txn.account
+        self.hasten(account.rate)
         txn.inside = self.within(account, txn.units)
         if txn.inside or (account.quota.pays and self.roomy()):
             return False
-        self.hasten(account.rate)
         return True
 
     def may_decline(self, txn):
@@ -295,8 +281,9 @@
             allow = min(allow, int(left - TYPICAL * line.mean))
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
 
-    def settle(self, txn, found):
-        pass  # the answer reached the client by itself
+    def close(self, txn, found):
+        """Nothing is owed any more; what is still out for a client that left is called off."""
+        self.effects += [t.Cancel(txn.id)] if txn.out and self.cancels and txn.state == OVER else []
 
     def decline(self, txn, found):
         quota, back = txn.account.quota, 0
@@ -344,9 +331,9 @@
 
     def store(self, account):
         """This node's share of the ceiling: 1/set size of rate and depth, so no agreement is needed."""
-        quota, part = account.quota, 1.0 / account.nodes
-        gain = quota.fill * part * (self.now - account.store_at) / SEC
-        account.store, account.store_at = min(quota.depth * part, account.store + gain), self.now
+        quota, gone = account.quota, (self.now - account.store_at) / SEC
+        account.store = min(quota.depth / account.nodes, account.store + quota.fill / account.nodes * gone)
+        account.store_at = self.now
         return account.store
 
     def within(self, account, units):
@@ -391,7 +378,6 @@
             self.roll(account.rate)
             window = account.rate.now
             window.own += txn.units
-            self.hasten(account.rate)
             if window.own - window.sent - window.doubt > EARLY * self.stretch * account.rate.limit / account.nodes:
                 self.flush(account.rate, window)
 
@@ -431,9 +417,11 @@
         if ledger and self.counts:
             ledger.used_at = self.now
             if not ledger.armed:
-                ledger.armed = True
-                wait = ledger.pause * self.stretch if self.fresh(ledger) else FIRST_ADD * self.stretch
-                self.remind(self.uniform(0.8, 1.2) * wait, self.tick, ledger)
+                self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
+
+    def arm(self, ledger, wait):
+        ledger.armed = True
+        self.remind(self.uniform(0.8, 1.2) * wait * self.stretch, self.tick, ledger)
 
     def tick(self, ledger):
         self.roll(ledger)
@@ -441,8 +429,7 @@
         self.flush(ledger, ledger.now)
         ledger.armed = False
         if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
-            ledger.armed = True
-            self.remind(self.uniform(0.8, 1.2) * ledger.pause * self.stretch, self.tick, ledger)
+            self.arm(ledger, ledger.pause)
 
     def flush(self, ledger, window):
         """Adds what has grown since the last successful add; the first add is also the first reading."""
@@ -501,14 +488,12 @@
         return True if self.failures >= SICK_AFTER else None
 
     def trial(self):
-        return True if self.now >= self.trial_at else None
-
-    def grant(self):
+        """Guards against a surge of calls on a counter that is just back: one in a while until one is answered."""
+        if self.now < self.trial_at:
+            return None
+        self.trial_at = self.now + TRIAL_GAP
         return True
 
-    def withhold(self):
-        return None
-
     # ---- app servers
 
     def ready(self, server):
@@ -523,8 +508,7 @@
         return room if server.zone == self.zone else room * self.near
 
     def roomy(self):
-        up = [s for s in self.servers.values() if s.state == t.UP]
-        return sum(s.out for s in up) < 0.5 * sum(s.limit for s in up)
+        return sum(s.limit - 2 * s.out for s in self.servers.values() if s.state == t.UP) > 0
 
     def odds(self, server):
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
@@ -535,38 +519,30 @@
         return server.won
 
     def judge(self, server, txn, told):
-        line = txn.line
+        line, done = txn.line, told.how == t.DONE
         if told.how in (t.CANCELLED, t.UNSENT):
             return
         self.fade(server)
-        slow = told.took > SLOW * line.sla
-        if told.how == t.DONE:
-            server.won += 1.0
+        server.won, server.lost = server.won + done, server.lost + (not done)
+        if done:
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
-            server.pace += 0.1 * (min(8.0, told.took / line.mean) - server.pace)
-            server.pace = max(0.4, server.pace)
-        else:
-            server.lost += 1.0
-            if told.how == t.TIMED_OUT and line.mean:
-                server.pace += 0.1 * (min(8.0, max(1.0, told.took / line.mean)) - server.pace)
-        if slow or told.how in (t.UNSEEN, t.TIMED_OUT):
+        if line.mean and (done or told.how == t.TIMED_OUT):
+            server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
+        if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
             server.limit = max(0.25 * self.start, server.limit * 0.8)
-        elif told.how == t.DONE and server.out + 1 >= 0.5 * server.limit:
+        elif done and server.out + 1 >= 0.5 * server.limit:
             server.limit += 0.02 * self.start * self.start / server.limit
 
     def probe(self, server):
-        if server.state == t.REMOVED:
-            return
         if server.state == t.UP and not server.probing:
             server.probing = True
             self.effects.append(t.Probe(server.id))
-        self.remind(self.uniform(0.8, 1.2) * SEC, self.probe, server)
+        if server.state != t.REMOVED:
+            self.remind(self.uniform(0.8, 1.2) * SEC, self.probe, server)
 
     def on_probed(self, told):
-        server = self.servers.get(told.server)
-        if server is None:
-            return
+        server = self.servers[told.server]
         server.probing = False
         if told.how != t.DONE:
             # Guards against an app server that hangs: found before many txns are lost on it. A good probe
@@ -581,29 +557,26 @@
     (NEW, ARRIVED): ((Node.beyond, OVER, Node.decline),
                      (Node.choose, OUT, Node.submit),
                      (Node.always, OVER, Node.decline)),
-    (OUT, SETTLED): ((Node.always, OVER, Node.settle),),
+    (OUT, SETTLED): ((Node.always, OVER, Node.close),),
     (OUT, UNRUN): ((Node.again, OUT, Node.submit),
                    (Node.may_decline, OVER, Node.decline),
                    (Node.always, OVER, Node.void)),
     (OUT, RISKY): ((Node.again, OUT, Node.submit),
                    (Node.always, OVER, Node.void)),
-    (OUT, BEGAN): ((Node.always, STREAM, Node.settle),),
-    (OUT, LEFT): ((Node.always, OVER, Node.settle),),
-    (STREAM, SETTLED): ((Node.always, OVER, Node.settle),),
+    (OUT, BEGAN): ((Node.always, STREAM, Node.close),),
+    (OUT, LEFT): ((Node.always, OVER, Node.close),),
+    (STREAM, SETTLED): ((Node.always, OVER, Node.close),),
     (STREAM, RISKY): ((Node.always, OVER, Node.void),),
-    (STREAM, LEFT): ((Node.always, OVER, Node.settle),),
+    (STREAM, LEFT): ((Node.always, OVER, Node.close),),
 }
 # state, input: (next state, effect); an effect that gives None leaves the state and means no
 COUNTER = {
-    (WELL, CALL): (WELL, Node.grant),
+    (WELL, CALL): (WELL, Node.always),
     (WELL, ANSWER): (WELL, Node.calm),
     (WELL, FAILURE): (SICK, Node.strain),
-    (SICK, CALL): (TRIAL, Node.trial),
+    (SICK, CALL): (SICK, Node.trial),
     (SICK, ANSWER): (WELL, Node.calm),
     (SICK, FAILURE): (SICK, Node.strain),
-    (TRIAL, CALL): (TRIAL, Node.withhold),
-    (TRIAL, ANSWER): (WELL, Node.calm),
-    (TRIAL, FAILURE): (SICK, Node.strain),
 }
-INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_began, t.Ended: Node.on_ended,
-          t.Left: Node.on_left, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
+INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_word, t.Ended: Node.on_ended,
+          t.Left: Node.on_word, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
