--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -47,6 +47,7 @@
     def __init__(self, product):
         self.kind, self.group, self.sla = product.kind, product.group, product.sla
         self.window, self.late, self.mean = product.repeat_window, product.late_share, 0.0
+        self.harmless = self.kind == t.INQUIRY or self.kind == t.REFERENCED and self.group == t.ALL
 
 
 class Quota:
@@ -64,7 +65,7 @@
 class Node:
     def __init__(self, terms, seed, now):
         chance = Random(seed)
-        self.random, self.beta, self.uniform = chance.random, chance.betavariate, chance.uniform
+        self.pick, self.beta, self.uniform = chance.choices, chance.betavariate, chance.uniform
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan) for plan in terms.plans]
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
@@ -106,9 +107,8 @@
         self.effects.append(t.Remind(int(delay), self.ref))
 
     def on_due(self, told):
-        what, about = self.due.pop(told.ref, (None, ()))
-        if what:
-            what(*about)
+        what, about = self.due.pop(told.ref, (self.always, ()))
+        what(*about)
 
     def on_list(self, told):
         if told.failed:
@@ -144,29 +144,23 @@
         self.step(txn, ARRIVED)
 
     def on_word(self, told):
-        if told.txn in self.txns:
-            self.step(self.txns[told.txn], BEGAN if type(told) is t.Began else LEFT)
+        self.step(self.txns[told.txn], BEGAN if type(told) is t.Began else LEFT)
 
     def on_ended(self, told):
-        txn, server = self.txns.get(told.txn), self.servers.get(told.server)
-        if txn is None or txn.out == 0:
-            return
+        txn, server = self.txns[told.txn], self.servers[told.server]
         txn.out -= 1
+        server.out -= 1
         self.gauge(txn.account, -1)
-        if server:
-            server.out -= 1
-            self.judge(server, txn, told)
-            self.let_go(server)
+        self.judge(server, txn, told)
+        self.let_go(server)
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
             ledger = txn.account.rate
             self.roll(ledger)
             ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
-        if told.how not in (t.UNSEEN, t.UNSENT) and txn.risk_at is None:
+        seen = SEEN.get(told.how, RISKY)
+        if seen == RISKY and txn.risk_at is None:
             txn.risk_at = self.now - told.took
-        if told.final and told.how != t.DONE:
-            self.step(txn, LEFT)
-        else:
-            self.step(txn, SETTLED if told.how == t.DONE else UNRUN if told.how in (t.UNSEEN, t.UNSENT) else RISKY)
+        self.step(txn, LEFT if told.final and seen != SETTLED else seen)
 
     def step(self, txn, seen):
         """Reads the table: the first row whose guard holds decides."""
@@ -187,16 +181,12 @@
     def beyond(self, txn):
         """The design's refusal. A plan whose excess earns more than it costs is let in while room is plenty."""
         account = txn.account
-        self.hasten(account.rate)
         txn.inside = self.within(account, txn.units)
-        if txn.inside or (account.quota.pays and self.roomy()):
-            return False
-        return True
+        return not (txn.inside or account.quota.pays and self.roomy())
 
     def may_decline(self, txn):
         """Rule 2: a decline only where no earlier submission can have run, or a repeat is dropped everywhere."""
-        line = txn.line
-        return txn.risk_at is None or line.kind == t.INQUIRY or (line.kind == t.REFERENCED and line.group == t.ALL)
+        return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
         """A further submission: from what is saved up, so that trouble everywhere starts no storm."""
@@ -216,12 +206,7 @@
         sound = [(s, room) for s, room in pool
                  if s.lost < 1.0 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
         pool = sound or pool
-        draw = self.random() * sum(room for _, room in pool)
-        for server, room in pool:
-            draw -= room
-            if draw <= 0:
-                break
-        return server
+        return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
 
     def lawful(self, txn):
         """The app servers that the rules leave for the txn's next submission: the one gate of every send."""
@@ -230,21 +215,17 @@
             return []
         if not txn.sent and account.quota.fill > 0 and self.store(account) < txn.units:  # rule 5
             return []
-        risky = txn.risk_at is not None
-        if risky and (line.kind == t.ONCE_ONLY
-                      or line.kind == t.REFERENCED and now + self.margin >= txn.risk_at + line.window):  # rule 2
+        bound = txn.risk_at is not None and line.kind != t.INQUIRY  # rule 2
+        if bound and (line.kind == t.ONCE_ONLY or now + self.margin >= txn.risk_at + line.window):
             return []
-        bound = risky and line.kind == t.REFERENCED
-        return [s for s in self.servers.values()
-                if s.state == t.UP  # rule 3, without the grace
-                and not (bound and (line.group == t.ZONE and s.zone != txn.risk_zone
-                                    or line.group == t.CELL and s.cell != txn.risk_cell))
+        group = line.group if bound else t.ALL
+        return [s for s in self.servers.values() if s.state == t.UP  # rule 3, without the grace
+                and (group == t.ALL or (s.zone == txn.risk_zone if group == t.ZONE else s.cell == txn.risk_cell))
                 and self.bears(s)]
 
     def bears(self, server):
-        """Rule 4: in any span a cold app server gets from us no more than its least capacity, guessed from what
-        a warm one does for us, allows. All that was sent counts. Every node's guess is its own part of the
-        load, so the parts add up to what one app server does."""
+        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what a warm one
+        does for us: our part of what one does for all. All that was sent counts."""
         ready = self.ready(server)
         if ready >= 1.0:
             return True
@@ -286,11 +267,9 @@
         self.effects += [t.Cancel(txn.id)] if txn.out and self.cancels and txn.state == OVER else []
 
     def decline(self, txn, found):
-        quota, back = txn.account.quota, 0
-        if self.advice:
-            wait = txn.units / quota.rate * SEC if quota.rate > 0 else txn.line.mean
-            back = int(min(self.advice, max(wait, 100 * MS)))
-        self.effects.append(t.Decline(txn.id, back))
+        rate = txn.account.quota.rate
+        wait = txn.units / rate * SEC if rate > 0 else txn.line.mean
+        self.effects.append(t.Decline(txn.id, int(min(self.advice, max(wait, 100 * MS)))))
 
     def void(self, txn, found):
         self.effects.append(t.Void(txn.id))
@@ -307,7 +286,7 @@
             # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
             account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began)
             self.remind(quota.idle, self.retire, account)
-        account.used_at = self.now
+        account.used_at, account.nodes = self.now, max(account.nodes, nodes)
         return account
 
     def ledger(self, key, length, limit, nodes, pause):
@@ -339,6 +318,7 @@
     def within(self, account, units):
         ledger = account.rate
         if ledger:
+            self.hasten(ledger)
             left = self.roll(ledger)
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
@@ -363,44 +343,40 @@
         if account.out + others < ledger.limit:
             return True
         if age > LEVEL_FRESH // 2:
-            self.level(account, ledger, True)
+            self.gauge(account, ask=True)
         return False
 
     def fresh(self, ledger):
         """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
-        return self.counts and ledger.read_at is not None and self.now - ledger.read_at < STALE * ledger.pause
+        return ledger.read_at is not None and self.now - ledger.read_at < STALE * ledger.pause
 
     def count(self, txn):
         account = txn.account
         if account.quota.fill > 0:
             account.store -= txn.units
-        if account.rate and txn.inside:
-            self.roll(account.rate)
-            window = account.rate.now
-            window.own += txn.units
-            if window.own - window.sent - window.doubt > EARLY * self.stretch * account.rate.limit / account.nodes:
-                self.flush(account.rate, window)
-
-    def gauge(self, account, change):
+        ledger = account.rate
+        if ledger and txn.inside:
+            ledger.now.own += txn.units
+            if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
+                self.flush(ledger, ledger.now)
+
+    def gauge(self, account, change=0, ask=False):
+        """Brings our part of the epoch's count to what is out now, by adds that may fall; in a new epoch anew."""
         account.out += change
-        if account.gauge:
-            self.roll(account.gauge)
-            self.level(account, account.gauge)
-
-    def level(self, account, ledger, ask=False):
-        """Brings our part of the epoch's count to what is out now, by adds that may fall; with a new epoch anew."""
-        window = ledger.now
-        change = account.out - window.sent
-        if window.flying is None and (change or ask) and self.mark(CALL):
-            self.call(ledger, window, change, account)
+        ledger = account.gauge
+        if ledger is None:
+            return
+        self.roll(ledger)
+        grown = account.out - ledger.now.sent
+        if ledger.now.flying is None and (grown or ask) and self.mark(CALL):
+            self.call(ledger, ledger.now, grown, account)
         if account.out and not ledger.armed:
             ledger.armed = True
-            self.remind(EPOCH - self.now % EPOCH + self.uniform(0.0, 20.0) * MS, self.new_epoch, account, ledger)
+            self.remind(EPOCH - self.now % EPOCH + self.uniform(0.0, 20.0) * MS, self.new_epoch, account)
 
-    def new_epoch(self, account, ledger):
-        ledger.armed = False
-        self.roll(ledger)
-        self.level(account, ledger)
+    def new_epoch(self, account):
+        account.gauge.armed = False
+        self.gauge(account)
 
     def on_level(self, account, ledger, window, amount, told):
         """A timed-out add counts as landed: a wrong guess is off by one and gone with the epoch."""
@@ -409,15 +385,13 @@
         if told.how == t.DONE:
             window.sent = min(window.sent, max(0.0, told.total))  # a lower total is a loss: ours is put back
             window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
-            if window is ledger.now:
-                self.level(account, ledger)
+            self.gauge(account)
 
     def hasten(self, ledger):
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
-        if ledger and self.counts:
-            ledger.used_at = self.now
-            if not ledger.armed:
-                self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
+        ledger.used_at = self.now
+        if not ledger.armed:
+            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
@@ -452,9 +426,8 @@
         self.mark(ANSWER if told.how == t.DONE else FAILURE)
         if account:
             return self.on_level(account, ledger, window, amount, told)
-        if told.how == t.TIMED_OUT:
-            window.doubt += amount  # may have landed: not sent again before the next total tells
-        if told.how != t.DONE:
+        if told.how != t.DONE:  # after a time-out it may have landed: not sent again before the next total tells
+            window.doubt += amount if told.how == t.TIMED_OUT else 0.0
             return
         slack = 1e-3 + 1e-6 * told.total
         if told.total < window.seen + amount - slack:
@@ -462,10 +435,9 @@
             # below what earlier ones imply. Our own adds are put back, the others put back theirs.
             window.sent, window.doubt = amount, 0.0
         else:
-            if told.total - window.sent - amount - window.doubt >= window.held - slack:
-                window.sent += window.doubt  # the add in doubt had landed
+            landed = told.total - window.sent - amount - window.doubt >= window.held - slack
+            window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
-            window.sent += amount
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
@@ -473,7 +445,7 @@
     def mark(self, seen):
         """Reads the counter's table; returns whether a call may be made."""
         then, effect = COUNTER[self.counter, seen]
-        verdict = effect(self)
+        verdict = effect(self) if self.counts else None
         if verdict is not None:
             self.counter = then
         return verdict
@@ -544,11 +516,10 @@
     def on_probed(self, told):
         server = self.servers[told.server]
         server.probing = False
-        if told.how != t.DONE:
-            # Guards against an app server that hangs: found before many txns are lost on it. A good probe
-            # proves nothing, since one that fails fast answers probes too.
-            self.fade(server)
-            server.lost += 1.0
+        # Guards against an app server that hangs: found before many txns are lost on it. A good probe proves
+        # nothing, since one that fails fast answers probes too.
+        self.fade(server)
+        server.lost += told.how != t.DONE
         self.let_go(server)
 
 
@@ -578,5 +549,6 @@
     (SICK, ANSWER): (WELL, Node.calm),
     (SICK, FAILURE): (SICK, Node.strain),
 }
+SEEN = {t.DONE: SETTLED, t.UNSEEN: UNRUN, t.UNSENT: UNRUN}  # all else may have run
 INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_word, t.Ended: Node.on_ended,
           t.Left: Node.on_word, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
