--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,195 @@
+"""Short plays against traces that people read; each says what it guards against."""
+
+from helper import Play
+from rampfront import terms as t
+
+
+def test_window_and_others():
+    """The design's test: own and others' counts, adds of what grew, and early ones in a surge."""
+    p = Play()
+    p.serve(range(2))
+    p.wait(100)
+    p.count(2)
+    p.say("the others have 6")
+    p.serve(range(2, 4))
+    p.count(10)
+    p.serve(range(4, 6))
+    p.wait(7400)
+    p.say("half a window on, the weight of the past one falls")
+    p.serve(range(6, 8))
+    p.check("window")
+
+
+def test_true_units():
+    """A lower true figure nets against later growth: adds never fall."""
+    p = Play()
+    p.arrive(0, units=4)
+    p.end(0, true=1)
+    p.wait(100)
+    p.count(4)
+    p.serve([1], units=2)
+    p.wait(1500)
+    p.say("2 new units less 3 handed back: nothing to add")
+    p.serve([2], units=2)
+    p.wait(1500)
+    p.check("true_units")
+
+
+def test_add_in_doubt():
+    """A timed-out add is neither resent blindly nor forgotten: the next total tells whether it landed."""
+    for landed, total in ((True, 2), (False, 0)):
+        p = Play()
+        p.serve(range(2))
+        p.count(how=t.TIMED_OUT)
+        p.wait(200)
+        p.count(total)
+        p.say(f"total {total}: the add in doubt had {'' if landed else 'not '}landed")
+        p.serve([2])
+        p.wait(1500)
+        p.check(f"doubt_{'landed' if landed else 'lost'}")
+
+
+def test_counts_lost():
+    """A total below what earlier ones imply: the counter lost counts, our own are put back."""
+    p = Play()
+    p.serve(range(2))
+    p.count(3)
+    p.serve(range(2, 4))
+    p.say("the counter came back empty")
+    p.count(2)
+    p.serve([4])
+    p.wait(1500)
+    p.check("lost")
+
+
+def test_counter_silent():
+    """Silent counter: the breaker opens, calls are paced, and the others are taken to go on as last read."""
+    p = Play()
+    p.serve(range(2))
+    p.count(3)
+    for k in range(8):
+        p.wait(1000)
+        if p.adds:
+            p.count(how=t.TIMED_OUT)
+        p.arrive(2 + k, account=f"b{k}")
+        p.end(2 + k)
+    p.wait(100)
+    p.say(f"counter {p.node.counter}; customer a asks for much")
+    p.serve(range(20, 30))
+    p.check("silent")
+
+
+def test_cap():
+    """A cap on submissions out at once: the epoch's count rises and falls with ours, the rest is the others'."""
+    p = Play()
+    p.arrive(0, plan=1)
+    p.count(2)
+    p.arrive(1, plan=1)
+    p.end(0)
+    p.count(1)
+    p.arrive(2, plan=1)
+    p.check("cap")
+
+
+def test_ceiling_after_start():
+    """A restart fills nothing: the share of the ceiling counts as spent, whatever the quota would allow."""
+    p = Play()
+    p.arrive(0, plan=2, units=4)
+    p.wait(500)
+    p.arrive(1, plan=2, units=4)
+    p.arrive(2, plan=2, units=4)
+    p.check("ceiling")
+
+
+def test_repeats():
+    """Rule 2: what each product may still do once a submission may have run, or surely has not."""
+    p = Play(servers=0)
+    p.list(0)
+    p.list(1, cell=1, whole=False)
+    for product, name in ((0, "inquiry-like"), (1, "referenced, by cell"), (2, "once-only")):
+        for how, said in ((t.UNSEEN, "turned away unseen"), (t.TIMED_OUT, "timed out")):
+            txn = 2 * product + (how == t.TIMED_OUT)
+            p.say(f"{name}, {said}")
+            p.arrive(txn, product=product, account=f"r{txn}")
+            server = p.sent_to()
+            p.wait(300)
+            p.end(txn, how, server, 300)
+            if txn in p.node.txns:
+                p.end(txn, server=p.sent_to())
+    p.say("referenced, past the time that repeats are remembered")
+    p.arrive(9, product=1, expiry=9000, account="r9")
+    server = p.sent_to()
+    p.wait(3000)
+    p.end(9, t.BROKEN, server, 3000)
+    p.check("repeats")
+
+
+def test_drains():
+    """Rule 3: draining, gone, left out of a whole list; with none left a txn is answered at once."""
+    p = Play(servers=2)
+    p.list(0, state=t.DRAINING, whole=False)
+    p.arrive(0, account="x")
+    p.end(0, server=1)
+    p.list(1, state=t.REMOVED, whole=False)
+    p.arrive(1, account="y")
+    p.list(0)
+    p.arrive(2, account="z")
+    p.list()
+    p.end(2, t.BROKEN)
+    p.check("drains")
+
+
+def test_cold_budget():
+    """Rule 4: a new app server gets a cold share of what a warm one does for us, in any span."""
+    p = Play(servers=1)
+    for k in range(160):
+        p.arrive(k, account=f"c{k}")
+        p.end(k, took=20)
+        p.wait(50)
+    p.list(1, born=p.ms, whole=False)
+    p.list(0, state=t.DRAINING, whole=False)
+    p.lines = []
+    for k in range(200, 240):
+        p.arrive(k, account=f"d{k}")
+        if k in p.node.txns:
+            p.end(k, server=1, took=20)
+        p.wait(50)
+    p.lines = [line for line in p.lines if " to " in line]
+    p.check("cold")
+
+
+def test_fast_failure():
+    """Fast failure must not look like room, yet the app server is tried again now and then."""
+    p = Play(servers=3, has_counter=False)
+    to = [0, 0, 0]
+    for k in range(300):
+        p.arrive(k, account=f"e{k}")
+        while k in p.node.txns:
+            server = p.sent_to()
+            to[server] += 1
+            p.end(k, t.ERROR if server == 0 else t.DONE, server, 2 if server == 0 else 100)
+        p.wait(20)
+    p.lines = [f"sent: {to}"]
+    p.check("fast_failure")
+
+
+def test_full_fleet():
+    """Limits below one hold in sum, and what has no room is declined at once with advice."""
+    p = Play(servers=4, nodes=16)
+    for k in range(5):
+        p.arrive(k, account=f"f{k}", nodes=2)
+    p.check("full_fleet")
+
+
+def test_short_expiry_and_leaving():
+    """Rule 1: a submission ends before the expiry, however short; a client that left is owed nothing."""
+    p = Play()
+    p.arrive(0, expiry=50)
+    p.wait(46)
+    p.end(0, t.TIMED_OUT, took=46)
+    p.arrive(1, expiry=4)
+    p.arrive(2)
+    p.tell(t.Left(2))
+    p.end(2, t.CANCELLED)
+    p.say(f"open txns: {len(p.node.txns)}")
+    p.check("expiry")
