--- a/rampfront/benchlink/codec.py
+++ b/rampfront/benchlink/codec.py
@@ -2,8 +2,8 @@
 
 from .. import terms as t
 
-ENDINGS = {"done": t.DONE, "err": t.ERROR, "busy": t.UNSEEN, "econnrefused": t.UNSEEN, "etimedout": t.TIMED_OUT,
-           "econnreset": t.BROKEN, "ecanceled": t.CANCELLED, "skipped": t.UNSENT}
+ENDINGS = {"done": t.DONE, "err": t.ERROR, "busy": t.UNSEEN, "econnrefused": t.UNSEEN,
+           "etimedout": t.TIMED_OUT, "econnreset": t.BROKEN, "ecanceled": t.CANCELLED, "skipped": t.UNSENT}
 EFFECTS = {"pure": t.INQUIRY, "token": t.REFERENCED, "side_effect": t.ONCE_ONLY}
 GROUPS = {"all": t.ALL, "zone": t.ZONE, "cell": t.CELL}
 STATES = {"healthy": t.UP, "cordoned": t.DRAINING, "deregistered": t.REMOVED}
@@ -39,16 +39,18 @@
 
 def read_terms(setup, names):
     limits, rules = setup["Limits"], setup["Rules"]
-    products = [t.Product(word(EFFECTS, row["Effect"], "effect"), word(GROUPS, row.get("Group", "all"), "group"),
-                          ns(row["OnTime"]), ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0))
+    products = [t.Product(word(EFFECTS, row["Effect"], "effect"),
+                          word(GROUPS, row.get("Group", "all"), "group"), ns(row["OnTime"]),
+                          ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0))
                 for row in setup["Classes"]]
     plans = [t.Plan(row.get("PerSecond", 0.0), row.get("StoreSize", 0.0), int(row.get("AtOnce", 0)),
                     row.get("NeverOverRate", 0.0), row.get("CapDepth", 0.0), row.get("BeyondEarns", 0.0),
                     row.get("ExcessCost", 0.0)) for row in setup["Packages"]]
     return t.Terms(
-        products=products, plans=plans, nodes=setup["PeersTotal"], zone=names.zones.get(setup.get("Zone"), -1),
-        max_submissions=limits["AttemptsCap"], may_probe=limits.get("Probing", False),
-        may_cancel=limits.get("MayCancel", False), has_counter=setup.get("Domain", {}).get("HasCounter", False),
+        products=products, plans=plans, nodes=setup["PeersTotal"],
+        zone=names.zones.get(setup.get("Zone"), -1), max_submissions=limits["AttemptsCap"],
+        may_probe=limits.get("Probing", False), may_cancel=limits.get("MayCancel", False),
+        has_counter=setup.get("Domain", {}).get("HasCounter", False),
         subscribes=setup.get("Discovery") == "subscribe", ask_within=ns(rules.get("AskWithin", 0)),
         longest_advice=ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0,
         tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -67,8 +67,8 @@
                 continue
             index = self.servers.take(row["Server"])
             (self.gone.add if state == t.REMOVED else self.gone.discard)(index)
-            rows.append(t.Listed(index, state, self.names.zones.get(row.get("Locality"), -1), row.get("Cohort", 0),
-                                 row.get("Nominal", 1.0), ns(row.get("CameUp", 0))))
+            rows.append(t.Listed(index, state, self.names.zones.get(row.get("Locality"), -1),
+                                 row.get("Cohort", 0), row.get("Nominal", 1.0), ns(row.get("CameUp", 0))))
         if whole:
             named = {row.server for row in rows}
             self.gone.update(index for index in self.servers.of.values() if index not in named)
@@ -169,7 +169,7 @@
         return {"cmd": "KeepInformed", "Active": True}
 
     def settle_up(self, event):
-        """After an event: gives back the txn's index if it is over with nothing out, and departed servers'."""
+        """After an event: gives back a txn's index if it is over with nothing out, and departed servers'."""
         txn = self.txns.of.get(event.get("Req"))
         if txn is not None and self.out[txn][2] and not self.out[txn][1]:
             del self.out[txn]
@@ -200,7 +200,8 @@
                 self.now = ns(event["Time"]) if "Time" in event else self.lacking(event, "Time")
             elif cmd == "YourTurn":
                 replies.append({"cmd": "End"})
-                self.output.write(b"".join(orjson.dumps(r, option=orjson.OPT_APPEND_NEWLINE) for r in replies))
+                lines = (orjson.dumps(reply, option=orjson.OPT_APPEND_NEWLINE) for reply in replies)
+                self.output.write(b"".join(lines))
                 self.output.flush()
                 replies = []
             else:
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -1,7 +1,7 @@
 """All decisions of one edge node.
 
-Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return the
-list of effects, to be carried out in order. Inputs, effects and terms are the types of `terms.py`, times whole
+Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return
+the effects, to be carried out in order. Inputs, effects and terms are the types of `terms.py`, times whole
 nanoseconds. A node knows only what it was told itself.
 
 Read `TXN` and `COUNTER` first: they are the decisions, `step` and `mark` merely read them. Every submission
@@ -37,8 +37,7 @@
 
 NEW, OUT, STREAM, OVER = "new", "out", "stream", "over"
 ARRIVED, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "settled", "unrun", "risky", "began", "left"
-WELL, SICK = "well", "sick"
-ANSWER, FAILURE, CALL = "answer", "failure", "call"
+WELL, SICK, ANSWER, FAILURE, CALL = "well", "sick", "answer", "failure", "call"
 
 
 class Line:
@@ -54,7 +53,8 @@
     """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
 
     def __init__(self, plan):
-        self.rate, self.cap, self.fill, self.depth = plan.rate, plan.at_once, plan.ceiling_rate, plan.ceiling_depth
+        self.rate, self.cap = plan.rate, plan.at_once
+        self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
         self.window = max(SEC, int(plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays = plan.beyond_earns > plan.beyond_costs
@@ -81,9 +81,8 @@
         self.accounts = {}  # emptied when idle for two windows, by `retire`
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name; emptied by their answers
-        self.ref = 0
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
-        self.spare = SPARE_MOST
+        self.ref, self.spare = 0, SPARE_MOST
         self.each, self.each_at = 0.0, now  # fading count of txns that a warm app server settled for us
 
     # ---- inputs
@@ -179,13 +178,13 @@
         return True
 
     def beyond(self, txn):
-        """The design's refusal. A plan whose excess earns more than it costs is let in while room is plenty."""
+        """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
         account = txn.account
         txn.inside = self.within(account, txn.units)
         return not (txn.inside or account.quota.pays and self.roomy())
 
     def may_decline(self, txn):
-        """Rule 2: a decline only where no earlier submission can have run, or a repeat is dropped everywhere."""
+        """Rule 2: a decline only where no submission can have run, or a repeat is dropped everywhere."""
         return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
@@ -195,7 +194,8 @@
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
         lawful = self.lawful(txn)
-        pool = [(server, room) for server in lawful if (room := self.room(server)) > 0]
+        pool = [(s, room) for s in lawful if (room := self.room(s)) > 0]
+        pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
         # Guards against many nodes that each have little room at an app server and fill it together: one out
         # is more than a small limit, so what is over counts against the rest.
         if not pool or sum(max(-1.0, s.limit * self.ready(s) - s.out) for s in lawful) <= 0:
@@ -204,7 +204,7 @@
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
         # success, held against their peers', so when all fail alike none is condemned. Harm: a few lost txns.
         sound = [(s, room) for s, room in pool
-                 if s.lost < 1.0 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
+                 if s.lost < 1 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
         pool = sound or pool
         return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
 
@@ -220,21 +220,21 @@
             return []
         group = line.group if bound else t.ALL
         return [s for s in self.servers.values() if s.state == t.UP  # rule 3, without the grace
-                and (group == t.ALL or (s.zone == txn.risk_zone if group == t.ZONE else s.cell == txn.risk_cell))
+                and (group != t.ZONE or s.zone == txn.risk_zone)
+                and (group != t.CELL or s.cell == txn.risk_cell)
                 and self.bears(s)]
 
     def bears(self, server):
-        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what a warm one
-        does for us: our part of what one does for all. All that was sent counts."""
+        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what
+        a warm one does for us: our part of what one does for all. All that was sent counts."""
+        if self.now - self.each_at > SEC // 10:  # with none warm, the last guess stands
+            warm = [self.fade(s) for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0]
+            self.each, self.each_at = sum(warm) / len(warm) if warm else self.each, self.now
         ready = self.ready(server)
         if ready >= 1.0:
             return True
         while server.log and server.log[0] <= self.now - self.span:
             server.log.popleft()
-        if self.now - self.each_at > SEC // 10:  # with none warm, the last guess stands
-            warm = [s for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0]
-            self.each_at = self.now
-            self.each = sum(self.fade(s) for s in warm) / len(warm) if warm else self.each
         return len(server.log) < max(1.0, self.cold_rate * ready * self.each)
 
     # ---- effects
@@ -248,6 +248,7 @@
             self.count(txn)
         txn.sent += 1
         txn.out += 1
+        txn.last = server.id
         server.out += 1
         self.gauge(txn.account, 1)
         if self.ready(server) < 1.0:
@@ -256,14 +257,13 @@
             txn.risk_zone, txn.risk_cell = server.zone, server.cell
         left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
         allow = rest if line.late > 0 or left <= 0 else min(left, rest)
-        # Guards against an app server that takes work and answers nothing: time is left for another submission.
-        # Not once typical times near that part, as when all are slow: a second submission would only add load.
+        # Guards against an app server that takes work and answers nothing: time is left for another one. Not
+        # once typical times near that part, as when all are slow: a further submission would only add load.
         if line.kind != t.ONCE_ONLY and txn.sent < self.most and left > 3 * TYPICAL * line.mean > 0:
             allow = min(allow, int(left - TYPICAL * line.mean))
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
 
-    def close(self, txn, found):
-        """Nothing is owed any more; what is still out for a client that left is called off."""
+    def close(self, txn, found):  # nothing is owed; what is out for a client that left is called off
         self.effects += [t.Cancel(txn.id)] if txn.out and self.cancels and txn.state == OVER else []
 
     def decline(self, txn, found):
@@ -283,7 +283,7 @@
             quota, now = self.quotas[plan], self.now
             rate = self.ledger(key, quota.window, quota.limit, nodes, TICK) if quota.rate > 0 else None
             gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH) if quota.cap > 0 else None
-            # Guards against a restart that would fill the ceiling again: the share counts as spent at our start.
+            # Guards against a restart that would fill the ceiling again: our share counts as spent then.
             account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began)
             self.remind(quota.idle, self.retire, account)
         account.used_at, account.nodes = self.now, max(account.nodes, nodes)
@@ -323,21 +323,21 @@
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
             if not self.fresh(ledger):
-                # Guards against a counter that is silent, slow, crowded or pacing us: held figures stand still,
-                # so the others are taken to go on as when last read, leaving us our fair share at least.
+                # Guards against a counter that is silent, slow, crowded or paced: held figures stand still,
+                # so the others are taken to go on as last read, leaving us our fair share at least.
                 # Harm: a customer that moved to us entirely is held to that share until it is read again.
                 fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
-                others = max(others, fair if ledger.read_at is None else min(ledger.others, fair))
-                others = others if own > 0 else 0.0
+                others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
             if own + others + units > ledger.limit + 1e-9:
                 return False
         return account.gauge is None or self.below_cap(account, account.gauge)
 
     def below_cap(self, account, ledger):
-        """A cap on submissions out at once, by the last total of this epoch; the first that is out tells anew."""
+        """A cap on submissions out at once, by the last total; with none of ours out, one may try."""
         left = self.roll(ledger)
-        age = self.now - ledger.read_at if ledger.read_at is not None else EPOCH
-        others = ledger.now.held if (1.0 - left) * EPOCH > LEVEL_FRESH else max(ledger.now.held, ledger.past.held)
+        age = self.now - ledger.read_at
+        past = ledger.past.held if (1.0 - left) * EPOCH < LEVEL_FRESH else 0.0  # not all have told anew yet
+        others = max(ledger.now.held, past)
         if self.counter != WELL or age > LEVEL_FRESH:
             others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
         if account.out + others < ledger.limit:
@@ -348,7 +348,7 @@
 
     def fresh(self, ledger):
         """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
-        return ledger.read_at is not None and self.now - ledger.read_at < STALE * ledger.pause
+        return self.now - ledger.read_at < STALE * ledger.pause
 
     def count(self, txn):
         account = txn.account
@@ -361,7 +361,7 @@
                 self.flush(ledger, ledger.now)
 
     def gauge(self, account, change=0, ask=False):
-        """Brings our part of the epoch's count to what is out now, by adds that may fall; in a new epoch anew."""
+        """Brings our part of the epoch's count to what is out now, by adds that may fall."""
         account.out += change
         ledger = account.gauge
         if ledger is None:
@@ -408,7 +408,7 @@
     def flush(self, ledger, window):
         """Adds what has grown since the last successful add; the first add is also the first reading."""
         grown = window.own - window.sent - window.doubt
-        asks = window is ledger.now and not self.fresh(ledger)  # nothing grew, but the others' part is not known
+        asks = window is ledger.now and not self.fresh(ledger)  # the others' part is not known
         if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
             self.call(ledger, window, max(0.0, round(grown, 4)))
 
@@ -426,7 +426,7 @@
         self.mark(ANSWER if told.how == t.DONE else FAILURE)
         if account:
             return self.on_level(account, ledger, window, amount, told)
-        if told.how != t.DONE:  # after a time-out it may have landed: not sent again before the next total tells
+        if told.how != t.DONE:  # after a time-out it may have landed: the next total tells
             window.doubt += amount if told.how == t.TIMED_OUT else 0.0
             return
         slack = 1e-3 + 1e-6 * told.total
@@ -460,7 +460,7 @@
         return True if self.failures >= SICK_AFTER else None
 
     def trial(self):
-        """Guards against a surge of calls on a counter that is just back: one in a while until one is answered."""
+        """Guards against a surge of calls on a counter just back: few, until one is answered."""
         if self.now < self.trial_at:
             return None
         self.trial_at = self.now + TRIAL_GAP
@@ -516,9 +516,7 @@
     def on_probed(self, told):
         server = self.servers[told.server]
         server.probing = False
-        # Guards against an app server that hangs: found before many txns are lost on it. A good probe proves
-        # nothing, since one that fails fast answers probes too.
-        self.fade(server)
+        self.fade(server)  # guards against hangs; a good probe proves nothing, as fast failers answer too
         server.lost += told.how != t.DONE
         self.let_go(server)
 
@@ -550,5 +548,5 @@
     (SICK, FAILURE): (SICK, Node.strain),
 }
 SEEN = {t.DONE: SETTLED, t.UNSEEN: UNRUN, t.UNSENT: UNRUN}  # all else may have run
-INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_word, t.Ended: Node.on_ended,
-          t.Left: Node.on_word, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
+INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_word, t.Left: Node.on_word,
+          t.Ended: Node.on_ended, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -1,7 +1,8 @@
-"""What a node remembers, as plain rows; `choice.py` alone reads and changes them and says what empties them."""
+"""What a node remembers, as plain rows; `choice.py` alone reads and changes them and says what empties it."""
 
 from collections import deque
 from dataclasses import field
+from math import inf
 
 from .terms import slotted
 
@@ -29,8 +30,8 @@
     used_at: int
     now: Window
     past: Window
-    read_at: int | None = None
-    others: float = 0.0  # the others' part as it was then
+    read_at: int = -10 ** 18  # long ago
+    others: float = inf  # the others' part as it was then; not read yet: all that it may be
     armed: bool = False  # its tick is set
 
 
@@ -75,6 +76,7 @@
     state: str
     sent: int = 0
     out: int = 0
+    last: int = -1  # where the last submission went
     risk_at: int | None = None  # when the first submission that may have run was sent
     risk_zone: int = 0
     risk_cell: int = 0
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,4 +1,4 @@
-"""Plays inputs to one node and prints what it decides, one line each. Run with KEEP=1 to write traces anew."""
+"""Plays inputs to one node and prints what it decides, a line each. KEEP=1 writes the traces anew."""
 
 import heapq
 import os
@@ -17,7 +17,8 @@
 
 
 class Play:
-    def __init__(self, servers=1, nodes=2, plans=(RATE, CAP, CEILING), products=(INQUIRY, CELL, ONCE), **other):
+    def __init__(self, servers=1, nodes=2, plans=(RATE, CAP, CEILING),
+                 products=(INQUIRY, CELL, ONCE), **other):
         terms = dict(products=list(products), plans=list(plans), nodes=nodes, zone=0, max_submissions=3,
                      may_probe=False, may_cancel=True, has_counter=True, subscribes=False, ask_within=0,
                      longest_advice=1000 * MS, tick=2 * MS, cold_share=0.2, warm_within=10000 * MS,
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -12,8 +12,10 @@
          "Limits": {"AttemptsCap": 3}, "Rules": {"ColdShare": 0.2, "WarmWithin": 9000.0, "FallMultiple": 2.0,
                                                  "TipAfter": 1000.0}}
 NEW = {"cmd": "NewInstance", "I": 1, "Seed": 5, "Setup": SETUP}
-LIST = {"cmd": "Targets", "I": 1, "Mode": "warm_copy", "Rev": 1, "Rows": [{"Status": "healthy", "Server": 99}]}
-REQ = {"cmd": "Req", "I": 1, "Req": 4294967295, "Remaining": 900.0, "UserKey": "k", "Tier": "p", "TierClass": "c"}
+LIST = {"cmd": "Targets", "I": 1, "Mode": "warm_copy", "Rev": 1,
+        "Rows": [{"Status": "healthy", "Server": 99}]}
+REQ = {"cmd": "Req", "I": 1, "Req": 4294967295, "Remaining": 900.0, "UserKey": "k", "Tier": "p",
+       "TierClass": "c"}
 
 
 def play(*batch):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -80,7 +80,7 @@
 
 
 def test_cap():
-    """A cap on submissions out at once: the epoch's count rises and falls with ours, the rest is the others'."""
+    """A cap on submissions out at once: the epoch's count rises and falls with ours, the rest is others'."""
     p = Play()
     p.arrive(0, plan=1)
     p.count(2)
