--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -19,7 +19,6 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 
-LENIENT = 1.5  # a window lasts as long as its burst, and so much longer if going beyond costs less than value
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
@@ -56,8 +55,7 @@
     def __init__(self, plan):
         self.rate, self.cap = plan.rate, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
-        stretch = LENIENT if plan.beyond_costs < 1.0 else 1.0
-        self.window = max(SEC, int(stretch * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
+        self.window = max(SEC, int(plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays = plan.beyond_earns > plan.beyond_costs
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
