--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -486,8 +486,11 @@
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
 
     def fade(self, server):
+        """Guards against standing by what was seen long ago of an app server that gets little work since."""
         keep = 0.5 ** ((self.now - server.judged_at) / MEMORY)
         server.won, server.lost, server.judged_at = server.won * keep, server.lost * keep, self.now
+        server.pace += (1.0 - server.pace) * (1.0 - keep)
+        server.limit += max(0.0, self.start - server.limit) * (1.0 - keep)
         return server.won
 
     def judge(self, server, txn, told):
