--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -28,7 +28,8 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
 LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
-OPEN_START = 8.0  # submissions out at one app server, of all nodes, before anything is known of it
+OPEN_START = 5.0  # submissions out at one app server, of all nodes, before anything is known of it
+GROWTH = 0.04  # how fast a limit grows: with SLOW it settles at its start where a fifth of the answers is slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
@@ -490,7 +491,6 @@
         keep = 0.5 ** ((self.now - server.judged_at) / MEMORY)
         server.won, server.lost, server.judged_at = server.won * keep, server.lost * keep, self.now
         server.pace += (1.0 - server.pace) * (1.0 - keep)
-        server.limit += max(0.0, self.start - server.limit) * (1.0 - keep)
         return server.won
 
     def judge(self, server, txn, told):
@@ -507,7 +507,7 @@
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
             server.limit = max(0.25 * self.start, server.limit * 0.8)
         elif done and server.out + 1 >= 0.5 * server.limit:
-            server.limit += 0.02 * self.start * self.start / server.limit
+            server.limit += GROWTH * self.start * self.start / server.limit
 
     def probe(self, server):
         if server.state == t.UP and not server.probing:
