--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -392,15 +392,16 @@
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
-            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
+            # Guards against many accounts that are seen once and swamp the counter: no prompt reading in a crowd.
+            self.arm(ledger, ledger.pause if self.fresh(ledger) or self.stretch > 2 else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
         self.remind(self.uniform(0.8, 1.2) * wait * self.stretch, self.tick, ledger)
 
     def tick(self, ledger):
-        self.roll(ledger)
-        self.flush(ledger, ledger.past)
+        if self.roll(ledger) > 0.5:  # later the past window hardly counts
+            self.flush(ledger, ledger.past)
         self.flush(ledger, ledger.now)
         ledger.armed = False
         if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
