--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import log
+from math import inf, log
 from random import Random
 
 from . import terms as t
@@ -328,7 +328,7 @@
                 # so the others are taken to go on as last read, leaving us our fair share at least.
                 # Harm: a customer that moved to us entirely is held to that share until it is read again.
                 fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
-                others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
+                others = max(others, min(ledger.others, fair)) if own > 0 or ledger.others < inf else 0.0
             if own + others + units > ledger.limit + 1e-9:
                 return False
         return account.gauge is None or self.below_cap(account, account.gauge)
@@ -392,16 +392,15 @@
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
-            # Guards against many accounts that are seen once and swamp the counter: no prompt reading in a crowd.
-            self.arm(ledger, ledger.pause if self.fresh(ledger) or self.stretch > 2 else FIRST_ADD)
+            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
         self.remind(self.uniform(0.8, 1.2) * wait * self.stretch, self.tick, ledger)
 
     def tick(self, ledger):
-        if self.roll(ledger) > 0.5:  # later the past window hardly counts
-            self.flush(ledger, ledger.past)
+        self.roll(ledger)
+        self.flush(ledger, ledger.past)
         self.flush(ledger, ledger.now)
         ledger.armed = False
         if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
