--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import inf, log
+from math import log
 from random import Random
 
 from . import terms as t
@@ -328,7 +328,7 @@
                 # so the others are taken to go on as last read, leaving us our fair share at least.
                 # Harm: a customer that moved to us entirely is held to that share until it is read again.
                 fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
-                others = max(others, min(ledger.others, fair)) if own > 0 or ledger.others < inf else 0.0
+                others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
             if own + others + units > ledger.limit + 1e-9:
                 return False
         return account.gauge is None or self.below_cap(account, account.gauge)
@@ -337,9 +337,11 @@
         """A cap on submissions out at once, by the last total; with none of ours out, one may try."""
         left = self.roll(ledger)
         age = self.now - ledger.read_at
-        past = ledger.past.held if (1.0 - left) * EPOCH < LEVEL_FRESH else 0.0  # not all have told anew yet
-        others = max(ledger.now.held, past)
-        if self.counter != WELL or age > LEVEL_FRESH:
+        elapsed = (1.0 - left) * EPOCH
+        others = ledger.now.held if age < elapsed else 0.0
+        if age >= elapsed or elapsed < LEVEL_FRESH:  # not read, or not all have told anew, in this epoch
+            others = max(others, ledger.past.held)
+        if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
             others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
         if account.out + others < ledger.limit:
             return True
