--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -24,7 +24,7 @@
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
-SICK_AFTER = 12  # failures of the counter in a row that open the breaker: a crowd answers some, silence none
+SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
 LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
@@ -394,7 +394,8 @@
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
-            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
+            recent = self.now - ledger.read_at < STALE * ledger.pause * self.stretch
+            self.arm(ledger, ledger.pause if recent else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
