--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import log
+from math import inf, log
 from random import Random
 
 from . import terms as t
@@ -341,8 +341,9 @@
         others = ledger.now.held if age < elapsed else 0.0
         if age >= elapsed or elapsed < LEVEL_FRESH:  # not read, or not all have told anew, in this epoch
             others = max(others, ledger.past.held)
-        if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
-            others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
+        if self.counter != WELL:  # nobody can be read: as they were on the average, or a fair share
+            others = min(ledger.others, ledger.limit * (1 - 1 / ledger.nodes) if account.out else inf)
+            others = others if others < inf else 0.0
         if account.out + others < ledger.limit:
             return True
         if age > LEVEL_FRESH // 2:
@@ -388,6 +389,7 @@
         if told.how == t.DONE:
             window.sent = min(window.sent, max(0.0, told.total))  # a lower total is a loss: ours is put back
             window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
+            ledger.others = window.held if ledger.others == inf else 0.9 * ledger.others + 0.1 * window.held
             self.gauge(account)
 
     def hasten(self, ledger):
