--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import inf, log
+from math import log
 from random import Random
 
 from . import terms as t
@@ -29,7 +29,7 @@
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
 LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
 OPEN_START = 5.0  # submissions out at one app server, of all nodes, before anything is known of it
-GROWTH = 0.04  # how fast a limit grows: with SLOW it settles at its start where a fifth of the answers is slow
+GROWTH = 0.04  # how fast a limit grows: with SLOW it settles at its start if a fifth of the answers is slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
@@ -148,8 +148,7 @@
 
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
-        txn.out -= 1
-        server.out -= 1
+        txn.out, server.out = txn.out - 1, server.out - 1
         self.gauge(txn.account, -1)
         self.judge(server, txn, told)
         self.let_go(server)
@@ -214,8 +213,8 @@
         line, now, account = txn.line, self.now, txn.account
         if txn.out or txn.expiry - now <= self.margin + MS:
             return []
-        if not txn.sent and account.quota.fill > 0 and self.store(account) < txn.units:  # rule 5
-            return []
+        if not txn.sent and account.quota.fill > 0 and self.store(account) < txn.units:
+            return []  # rule 5
         bound = txn.risk_at is not None and line.kind != t.INQUIRY  # rule 2
         if bound and (line.kind == t.ONCE_ONLY or now + self.margin >= txn.risk_at + line.window):
             return []
@@ -247,9 +246,7 @@
         else:
             self.spare = min(SPARE_MOST, self.spare + SPARE_RATE)
             self.count(txn)
-        txn.sent += 1
-        txn.out += 1
-        txn.last = server.id
+        txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
         server.out += 1
         self.gauge(txn.account, 1)
         if self.ready(server) < 1.0:
@@ -284,7 +281,7 @@
             quota, now = self.quotas[plan], self.now
             rate = self.ledger(key, quota.window, quota.limit, nodes, TICK) if quota.rate > 0 else None
             gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH) if quota.cap > 0 else None
-            # Guards against a restart that would fill the ceiling again: our share counts as spent then.
+            # Guards against a restart that fills the ceiling again: our share counts as spent at our start.
             account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began)
             self.remind(quota.idle, self.retire, account)
         account.used_at, account.nodes = self.now, max(account.nodes, nodes)
@@ -337,13 +334,10 @@
         """A cap on submissions out at once, by the last total; with none of ours out, one may try."""
         left = self.roll(ledger)
         age = self.now - ledger.read_at
-        elapsed = (1.0 - left) * EPOCH
-        others = ledger.now.held if age < elapsed else 0.0
-        if age >= elapsed or elapsed < LEVEL_FRESH:  # not read, or not all have told anew, in this epoch
-            others = max(others, ledger.past.held)
-        if self.counter != WELL:  # nobody can be read: as they were on the average, or a fair share
-            others = min(ledger.others, ledger.limit * (1 - 1 / ledger.nodes) if account.out else inf)
-            others = others if others < inf else 0.0
+        early = (1.0 - left) * EPOCH < max(age, LEVEL_FRESH)  # not all have told anew in it
+        others = max(ledger.now.held, ledger.past.held if early else 0.0)
+        if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
+            others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
         if account.out + others < ledger.limit:
             return True
         if age > LEVEL_FRESH // 2:
@@ -366,8 +360,7 @@
 
     def gauge(self, account, change=0, ask=False):
         """Brings our part of the epoch's count to what is out now, by adds that may fall."""
-        account.out += change
-        ledger = account.gauge
+        account.out, ledger = account.out + change, account.gauge
         if ledger is None:
             return
         self.roll(ledger)
@@ -389,7 +382,6 @@
         if told.how == t.DONE:
             window.sent = min(window.sent, max(0.0, told.total))  # a lower total is a loss: ours is put back
             window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
-            ledger.others = window.held if ledger.others == inf else 0.9 * ledger.others + 0.1 * window.held
             self.gauge(account)
 
     def hasten(self, ledger):
