--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import log
+from math import inf, log
 from random import Random
 
 from . import terms as t
@@ -19,6 +19,7 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 
+WINDOW = 2.0  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
@@ -56,7 +57,8 @@
     def __init__(self, plan):
         self.rate, self.cap = plan.rate, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
-        self.window = max(SEC, int(plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
+        self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
+        self.burst = plan.burst
         self.limit = plan.rate * self.window / SEC
         self.pays = plan.beyond_earns > plan.beyond_costs
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
@@ -156,6 +158,7 @@
             ledger = txn.account.rate
             self.roll(ledger)
             ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
+            ledger.spare -= told.true_units - txn.units
         seen = SEEN.get(told.how, RISKY)
         if seen == RISKY and txn.risk_at is None:
             txn.risk_at = self.now - told.took
@@ -289,7 +292,7 @@
 
     def ledger(self, key, length, limit, nodes, pause):
         number = self.now // length
-        return Ledger(key, length, limit, nodes, pause, self.now, Window(number), Window(number - 1))
+        return Ledger(key, length, limit, nodes, pause, self.now, Window(number), Window(number - 1), inf, self.now)
 
     def roll(self, ledger):
         """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
@@ -326,7 +329,10 @@
                 # Harm: a customer that moved to us entirely is held to that share until it is read again.
                 fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
                 others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
-            if own + others + units > ledger.limit + 1e-9:
+            # Guards against a window longer than the burst, which would let its whole limit in at once.
+            gain = account.quota.rate * (self.now - ledger.spare_at) / SEC
+            ledger.spare, ledger.spare_at = min(account.quota.burst, ledger.spare + gain), self.now
+            if own + others + units > ledger.limit + 1e-9 or units > ledger.spare + 1e-9:
                 return False
         return account.gauge is None or self.below_cap(account, account.gauge)
 
@@ -355,6 +361,7 @@
         ledger = account.rate
         if ledger and txn.inside:
             ledger.now.own += txn.units
+            ledger.spare -= txn.units
             if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
 
@@ -436,6 +443,7 @@
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
+        ledger.spare -= max(0.0, told.total - window.sent - window.held)
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -30,6 +30,8 @@
     used_at: int
     now: Window
     past: Window
+    spare: float  # what may still be let in at once, by our own and the others' known part
+    spare_at: int
     read_at: int = -10 ** 18  # long ago
     others: float = inf  # the others' part as it was then; not read yet: all that it may be
     armed: bool = False  # its tick is set
