--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -22,7 +22,7 @@
 WINDOW = 2.0  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
-EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
+EARLY = 0.125  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
@@ -327,7 +327,7 @@
                 # Guards against a counter that is silent, slow, crowded or paced: held figures stand still,
                 # so the others are taken to go on as last read, leaving us our fair share at least.
                 # Harm: a customer that moved to us entirely is held to that share until it is read again.
-                fair = ledger.limit * (1.0 - 1.0 / ledger.nodes)
+                fair = ledger.limit - account.quota.burst / ledger.nodes
                 others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
             # Guards against a window longer than the burst, which would let its whole limit in at once.
             gain = account.quota.rate * (self.now - ledger.spare_at) / SEC
