--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -443,7 +443,7 @@
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
-        ledger.spare -= max(0.0, told.total - window.sent - window.held)
+        ledger.spare = max(0.0, ledger.spare - max(0.0, told.total - window.sent - window.held))
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
