--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -19,10 +19,10 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 
-WINDOW = 2.0  # length of an account's window, in times that its burst lasts at its rate
+WINDOW = 1.5  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
-EARLY = 0.125  # part of its share of the limit past which an edge node's grown count is added before the tick
+EARLY = 0.167  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
@@ -443,7 +443,7 @@
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
-        ledger.spare = max(0.0, ledger.spare - max(0.0, told.total - window.sent - window.held))
+        ledger.spare -= max(0.0, told.total - window.sent - window.held)
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
