--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -19,10 +19,10 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 
-WINDOW = 1.5  # length of an account's window, in times that its burst lasts at its rate
+WINDOW = 2.0  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
-EARLY = 0.167  # part of its share of the limit past which an edge node's grown count is added before the tick
+EARLY = 0.125  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
@@ -55,10 +55,9 @@
     """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
 
     def __init__(self, plan):
-        self.rate, self.cap = plan.rate, plan.at_once
+        self.rate, self.burst, self.cap = plan.rate, plan.burst, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
-        self.burst = plan.burst
         self.limit = plan.rate * self.window / SEC
         self.pays = plan.beyond_earns > plan.beyond_costs
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
@@ -74,10 +73,9 @@
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.margin, self.cancels = 2 * terms.tick, terms.may_cancel
-        self.near = 1.0 / (1.0 + 100.0 * terms.cross_zone_price)
+        self.near, self.start = 1.0 / (1.0 + 100.0 * terms.cross_zone_price), OPEN_START / terms.nodes
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
-        self.start = OPEN_START / terms.nodes
         self.began, self.now, self.effects = now, now, []
         self.txns = {}  # open txns; emptied by their final answer and the end of their last submission
         self.servers = {}  # emptied as the list drops them, once nothing of ours is out there
@@ -157,8 +155,8 @@
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
             ledger = txn.account.rate
             self.roll(ledger)
-            ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
-            ledger.spare -= told.true_units - txn.units
+            more = told.true_units - txn.units  # a credit nets against later growth, see `flush`
+            ledger.now.own, ledger.spare = ledger.now.own + more, ledger.spare - more
         seen = SEEN.get(told.how, RISKY)
         if seen == RISKY and txn.risk_at is None:
             txn.risk_at = self.now - told.took
@@ -292,7 +290,8 @@
 
     def ledger(self, key, length, limit, nodes, pause):
         number = self.now // length
-        return Ledger(key, length, limit, nodes, pause, self.now, Window(number), Window(number - 1), inf, self.now)
+        windows = Window(number), Window(number - 1)
+        return Ledger(key, length, limit, nodes, pause, self.now, *windows, inf, self.now)
 
     def roll(self, ledger):
         """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
@@ -311,9 +310,8 @@
 
     def store(self, account):
         """This node's share of the ceiling: 1/set size of rate and depth, so no agreement is needed."""
-        quota, gone = account.quota, (self.now - account.store_at) / SEC
-        account.store = min(quota.depth / account.nodes, account.store + quota.fill / account.nodes * gone)
-        account.store_at = self.now
+        quota, gain = account.quota, (self.now - account.store_at) / SEC * account.quota.fill / account.nodes
+        account.store, account.store_at = min(quota.depth / account.nodes, account.store + gain), self.now
         return account.store
 
     def within(self, account, units):
@@ -344,11 +342,10 @@
         others = max(ledger.now.held, ledger.past.held if early else 0.0)
         if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
             others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
-        if account.out + others < ledger.limit:
-            return True
-        if age > LEVEL_FRESH // 2:
+        free = account.out + others < ledger.limit
+        if not free and age > LEVEL_FRESH // 2:
             self.gauge(account, ask=True)
-        return False
+        return free
 
     def fresh(self, ledger):
         """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
@@ -360,8 +357,7 @@
             account.store -= txn.units
         ledger = account.rate
         if ledger and txn.inside:
-            ledger.now.own += txn.units
-            ledger.spare -= txn.units
+            ledger.now.own, ledger.spare = ledger.now.own + txn.units, ledger.spare - txn.units
             if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
 
@@ -395,8 +391,7 @@
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
-            recent = self.now - ledger.read_at < STALE * ledger.pause * self.stretch
-            self.arm(ledger, ledger.pause if recent else FIRST_ADD)
+            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
@@ -452,8 +447,7 @@
         """Reads the counter's table; returns whether a call may be made."""
         then, effect = COUNTER[self.counter, seen]
         verdict = effect(self) if self.counts else None
-        if verdict is not None:
-            self.counter = then
+        self.counter = then if verdict else self.counter
         return verdict
 
     def calm(self):
@@ -482,8 +476,8 @@
         return self.cold + (1.0 - self.cold) * age / self.warm_within
 
     def room(self, server):
-        room = (server.limit - server.out) * self.ready(server) / server.pace
-        return room if server.zone == self.zone else room * self.near
+        near = 1.0 if server.zone == self.zone else self.near
+        return (server.limit - server.out) * self.ready(server) / server.pace * near
 
     def roomy(self):
         return sum(s.limit - 2 * s.out for s in self.servers.values() if s.state == t.UP) > 0
