--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -295,9 +295,9 @@
 
     def roll(self, ledger):
         """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
-        number = self.now // ledger.length
-        if number != ledger.now.number:
-            ledger.past = ledger.now if number == ledger.now.number + 1 else Window(number - 1)
+        number, last = self.now // ledger.length, ledger.now
+        if number != last.number:
+            ledger.past = last if number == last.number + 1 else Window(number - 1)
             ledger.now = Window(number)
         return 1.0 - (self.now % ledger.length) / ledger.length
 
@@ -347,8 +347,7 @@
             self.gauge(account, ask=True)
         return free
 
-    def fresh(self, ledger):
-        """Whether the others' figure still bounds what they sent on; if not, only a fair share is let in."""
+    def fresh(self, ledger):  # whether the others' figure still bounds what they sent on
         return self.now - ledger.read_at < STALE * ledger.pause
 
     def count(self, txn):
@@ -533,6 +532,7 @@
                    (Node.may_decline, OVER, Node.decline),
                    (Node.always, OVER, Node.void)),
     (OUT, RISKY): ((Node.again, OUT, Node.submit),
+                   (Node.may_decline, OVER, Node.decline),
                    (Node.always, OVER, Node.void)),
     (OUT, BEGAN): ((Node.always, STREAM, Node.close),),
     (OUT, LEFT): ((Node.always, OVER, Node.close),),
