--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -503,7 +503,7 @@
             server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
         if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
-            server.limit = max(0.6 * self.start / max(1.0, server.pace), server.limit * 0.8)
+            server.limit = max(0.25 * self.start, server.limit * 0.8)
         elif done and server.out + 1 >= 0.5 * server.limit:
             server.limit += GROWTH * self.start * self.start / server.limit
 
