--- a/rampfront/benchlink/codec.py
+++ b/rampfront/benchlink/codec.py
@@ -51,7 +51,7 @@
         zone=names.zones.get(setup.get("Zone"), -1), max_submissions=limits["AttemptsCap"],
         may_probe=limits.get("Probing", False), may_cancel=limits.get("MayCancel", False),
         has_counter=setup.get("Domain", {}).get("HasCounter", False),
-        subscribes=setup.get("Discovery") == "subscribe", ask_within=ns(rules.get("AskWithin", 0)),
+        subscribes=setup.get("Discovery") == "subscribe",
         longest_advice=ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0,
         tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
         fall_multiple=rules["FallMultiple"], tip_after=ns(rules["TipAfter"]),
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -52,7 +52,6 @@
     may_cancel: bool
     has_counter: bool
     subscribes: bool  # the server list must be asked for
-    ask_within: int
     longest_advice: int  # 0: clients take no advice
     tick: int  # shortest gap between two inputs
     cold_share: float
