Probes are earned by a node's own txns, one for ten

A probe goes to the longest unheard of few drawn at random, the doubtful sooner. Harm: a small deployment hears of a hang a little later.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -34,6 +34,8 @@
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
+PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes
+LOOKS = 16  # app servers looked at for a probe
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
@@ -68,6 +70,7 @@
     def __init__(self, terms, seed, now):
         chance = Random(seed)
         self.pick, self.beta, self.uniform = chance.choices, chance.betavariate, chance.uniform
+        self.random, self.sample = chance.random, chance.sample
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan) for plan in terms.plans]
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
@@ -84,6 +87,7 @@
         self.calls = {}  # calls to the counter under way, by name; emptied by their answers
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
+        self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
         self.each, self.each_at = 0.0, now  # fading count of txns that a warm app server settled for us
 
     # ---- inputs
@@ -124,14 +128,13 @@
             server = self.servers.get(row.server)
             if server is None:
                 server = self.servers[row.server] = Server(row.server, self.start)
-                if self.probes:
-                    self.remind(self.uniform(0.0, 1.0) * SEC, self.probe, server)
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
                 server.pace, server.limit = 1.0, self.start
                 server.log.clear()
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
+        self.up = [s for s in self.servers.values() if s.state == t.UP]
 
     def let_go(self, server):
         if server.state == t.REMOVED and not server.out and not server.probing:
@@ -142,6 +145,9 @@
         txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
                                         self.now + told.expires_in, NEW)
         self.step(txn, ARRIVED)
+        self.sight += PROBE_SHARE if self.probes else 0.0
+        if self.sight >= 1.0 and self.up:
+            self.probe()
 
     def on_word(self, told):
         self.step(self.txns[told.txn], BEGAN if type(told) is t.Began else LEFT)
@@ -496,6 +502,7 @@
         if told.how in (t.CANCELLED, t.UNSENT):
             return
         self.fade(server)
+        server.heard_at = self.now
         server.won, server.lost = server.won + done, server.lost + (not done)
         if done:
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
@@ -507,12 +514,15 @@
         elif done and server.out + 1 >= 0.5 * server.limit:
             server.limit += GROWTH * self.start * self.start / server.limit
 
-    def probe(self, server):
-        if server.state == t.UP and not server.probing:
-            server.probing = True
+    def probe(self):
+        """One of a few app servers: the longest unheard of, the doubtful sooner. Earned by own txns, so that
+        all nodes together make no more probes than their txns are worth, however many they are."""
+        some = self.sample(self.up, min(LOOKS, len(self.up)))
+        server = max(some, key=lambda s: (not s.probing, (self.now - s.heard_at) * (1.0 + s.lost)))
+        if not server.probing:
+            self.sight -= 1.0
+            server.probing, server.heard_at = True, self.now
             self.effects.append(t.Probe(server.id))
-        if server.state != t.REMOVED:
-            self.remind(self.uniform(0.8, 1.2) * SEC, self.probe, server)
 
     def on_probed(self, told):
         server = self.servers[told.server]
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -63,6 +63,7 @@
     won: float = 0.0  # fading counts of what it did with our work
     lost: float = 0.0
     judged_at: int = 0
+    heard_at: int = 0  # its last answer or probe
     log: deque = field(default_factory=deque)  # what it was sent while cold
     probing: bool = False
 
