Room holds on average over time; a few looks at app servers for each txn

Cause: one txn out is more than a small share, so a node with one out declined the next while the fleet idled.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -35,7 +35,8 @@
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes
-LOOKS = 16  # app servers looked at for a probe
+LOOKS = 16  # app servers looked at for a txn or a probe
+REACH = 1.0  # room saved up at most, in submissions times seconds
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
@@ -88,7 +89,9 @@
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
         self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
-        self.each, self.each_at = 0.0, now  # fading count of txns that a warm app server settled for us
+        self.each = 0.0  # fading count of txns that a warm app server settled for us
+        self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
+        self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
 
     # ---- inputs
 
@@ -154,7 +157,7 @@
 
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
-        txn.out, server.out = txn.out - 1, server.out - 1
+        txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
         self.gauge(txn.account, -1)
         self.judge(server, txn, told)
         self.let_go(server)
@@ -200,12 +203,11 @@
 
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
-        lawful = self.lawful(txn)
-        pool = [(s, room) for s in lawful if (room := self.room(s)) > 0]
+        if not self.fits():
+            return None
+        pool = [(s, room) for s in self.lawful(txn) if (room := self.room(s)) > 0]
         pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
-        # Guards against many nodes that each have little room at an app server and fill it together: one out
-        # is more than a small limit, so what is over counts against the rest.
-        if not pool or sum(max(-1.0, s.limit * self.ready(s) - s.out) for s in lawful) <= 0:
+        if not pool:
             return None
         sure = sum(self.odds(s) for s, _ in pool) / len(pool)
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
@@ -215,6 +217,24 @@
         pool = sound or pool
         return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
 
+    def fits(self):
+        """Whether the limits leave room. Guards against many nodes that each have little room at an app server
+        and fill it together: one out is more than a small limit, so what is over counts against the rest, and
+        a share below one holds on average: what was left free is saved up, to REACH, and what is over spent."""
+        self.look()
+        return self.free >= 1.0 or self.saved > 0.0
+
+    def look(self):
+        """Brings sums over the fleet up to date, a few times a second at most."""
+        past = self.now - self.looked_at
+        self.saved = max(-REACH, min(REACH, self.saved + self.free * (self.now - self.saved_at) / SEC))
+        self.saved_at = self.now
+        if past > SEC // 10:
+            self.looked_at = self.now
+            self.free = sum(max(-1.0, s.limit * self.ready(s) - s.out) for s in self.up)
+            warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
+            self.each = sum(warm) / len(warm) if warm else self.each  # with none warm, the last guess stands
+
     def lawful(self, txn):
         """The app servers that the rules leave for the txn's next submission: the one gate of every send."""
         line, now, account = txn.line, self.now, txn.account
@@ -226,7 +246,8 @@
         if bound and (line.kind == t.ONCE_ONLY or now + self.margin >= txn.risk_at + line.window):
             return []
         group = line.group if bound else t.ALL
-        return [s for s in self.servers.values() if s.state == t.UP  # rule 3, without the grace
+        some = self.up if bound or len(self.up) <= LOOKS else self.sample(self.up, LOOKS)
+        return [s for s in some if s.state == t.UP  # rule 3, without the grace
                 and (group != t.ZONE or s.zone == txn.risk_zone)
                 and (group != t.CELL or s.cell == txn.risk_cell)
                 and self.bears(s)]
@@ -234,9 +255,6 @@
     def bears(self, server):
         """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what
         a warm one does for us: our part of what one does for all. All that was sent counts."""
-        if self.now - self.each_at > SEC // 10:  # with none warm, the last guess stands
-            warm = [self.fade(s) for s in self.servers.values() if s.state == t.UP and self.ready(s) >= 1.0]
-            self.each, self.each_at = sum(warm) / len(warm) if warm else self.each, self.now
         ready = self.ready(server)
         if ready >= 1.0:
             return True
@@ -254,7 +272,7 @@
             self.spare = min(SPARE_MOST, self.spare + SPARE_RATE)
             self.count(txn)
         txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
-        server.out += 1
+        server.out, self.free = server.out + 1, self.free - 1.0
         self.gauge(txn.account, 1)
         if self.ready(server) < 1.0:
             server.log.append(now)
@@ -485,7 +503,8 @@
         return (server.limit - server.out) * self.ready(server) / server.pace * near
 
     def roomy(self):
-        return sum(s.limit - 2 * s.out for s in self.servers.values() if s.state == t.UP) > 0
+        self.look()
+        return self.free > sum(s.out for s in self.up)
 
     def odds(self, server):
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
