--- a/rampfront/benchlink/codec.py
+++ b/rampfront/benchlink/codec.py
@@ -38,7 +38,7 @@
 
 
 def read_terms(setup, names):
-    limits, rules = setup["Limits"], setup["Rules"]
+    limits, rules, domain = setup["Limits"], setup["Rules"], setup.get("Domain", {})
     products = [t.Product(word(EFFECTS, row["Effect"], "effect"),
                           word(GROUPS, row.get("Group", "all"), "group"), ns(row["OnTime"]),
                           ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0))
@@ -50,7 +50,8 @@
         products=products, plans=plans, nodes=setup["PeersTotal"],
         zone=names.zones.get(setup.get("Zone"), -1), max_submissions=limits["AttemptsCap"],
         may_probe=limits.get("Probing", False), may_cancel=limits.get("MayCancel", False),
-        has_counter=setup.get("Domain", {}).get("HasCounter", False),
+        has_counter=domain.get("HasCounter", False), counter_wait=ns(domain.get("CountWait", 0)),
+        largest=domain.get("Largest", 1.0),
         subscribes=setup.get("Discovery") == "subscribe",
         longest_advice=ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0,
         tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -45,7 +45,7 @@
         self.names = Names(setup)
         self.node = Node(read_terms(setup, self.names), event["Seed"], now)
         self.txns, self.servers = Indices(), Indices()
-        self.out, self.busy, self.gone = {}, {}, set()
+        self.out, self.busy, self.gone, self.over = {}, {}, set(), []
 
     def tell(self, now, event):
         handler = HANDLERS.get(event["cmd"])
@@ -148,13 +148,17 @@
         return {"cmd": "Retract", "Req": self.txns.ids[e.txn], "Attempt": self.out[e.txn][0] - 1}
 
     def decline(self, e):
-        self.out[e.txn][2] = True
+        self.finish(e.txn)
         return {"cmd": "Reject", "Req": self.txns.ids[e.txn], "RetryIn": ms(e.back_in)}
 
     def void(self, e):
-        self.out[e.txn][2] = True
+        self.finish(e.txn)
         return {"cmd": "Lose", "Req": self.txns.ids[e.txn]}
 
+    def finish(self, txn):
+        self.out[txn][2] = True
+        self.over.append(txn)
+
     def remind(self, e):
         return {"cmd": "Remind", "Delay": ms(e.delay), "Ref": e.ref}
 
@@ -169,11 +173,12 @@
         return {"cmd": "KeepInformed", "Active": True}
 
     def settle_up(self, event):
-        """After an event: gives back a txn's index if it is over with nothing out, and departed servers'."""
-        txn = self.txns.of.get(event.get("Req"))
-        if txn is not None and self.out[txn][2] and not self.out[txn][1]:
-            del self.out[txn]
-            self.txns.free(txn)
+        """After an event: gives back txns' indices if they are over with nothing out, and departed servers'."""
+        for txn in dict.fromkeys((self.txns.of.get(event.get("Req")), *self.over)):
+            if txn is not None and self.out[txn][2] and not self.out[txn][1]:
+                del self.out[txn]
+                self.txns.free(txn)
+        self.over.clear()
         if self.gone:
             self.sweep()
 
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -11,7 +11,7 @@
 """
 
 from hashlib import blake2b
-from math import inf, log
+from math import exp, inf, log
 from random import Random
 
 from . import terms as t
@@ -27,6 +27,7 @@
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
+FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
 LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
@@ -40,8 +41,8 @@
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
-NEW, OUT, STREAM, OVER = "new", "out", "stream", "over"
-ARRIVED, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "settled", "unrun", "risky", "began", "left"
+NEW, ASKED, OUT, STREAM, OVER = "new", "asked", "out", "stream", "over"
+ARRIVED, READ, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "read", "settled", "unrun", "risky", "began", "left"
 WELL, SICK, ANSWER, FAILURE, CALL = "well", "sick", "answer", "failure", "call"
 
 
@@ -57,12 +58,14 @@
 class Quota:
     """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
 
-    def __init__(self, plan):
+    def __init__(self, plan, typical, sla):
         self.rate, self.burst, self.cap = plan.rate, plan.burst, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
-        self.pays = plan.beyond_earns > plan.beyond_costs
+        self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
+        self.typical, self.inside = typical, 1.0  # units of a txn; share inside the quota, of thin accounts
+        self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else sla // 4
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
 
@@ -73,7 +76,9 @@
         self.pick, self.beta, self.uniform = chance.choices, chance.betavariate, chance.uniform
         self.random, self.sample = chance.random, chance.sample
         self.lines = [Line(product) for product in terms.products]
-        self.quotas = [Quota(plan) for plan in terms.plans]
+        sla = min(line.sla for line in self.lines)
+        self.quotas = [Quota(plan, terms.largest / 2, sla) for plan in terms.plans]
+        self.call_wait = terms.counter_wait
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.margin, self.cancels = 2 * terms.tick, terms.may_cancel
@@ -86,6 +91,7 @@
         self.accounts = {}  # emptied when idle for two windows, by `retire`
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name; emptied by their answers
+        self.asked = {}  # txns that wait for such an answer, by name; emptied in the same way
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
         self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
@@ -189,9 +195,18 @@
 
     def beyond(self, txn):
         """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
-        account = txn.account
-        txn.inside = self.within(account, txn.units)
-        return not (txn.inside or account.quota.pays and self.roomy())
+        account, quota = txn.account, txn.account.quota
+        if account.thin:
+            told = txn.chance  # with no answer, what the plan's accounts lately had inside is held against costs
+            txn.inside = self.random() < (quota.inside > (1 - quota.inside) * quota.costs if told is None else told)
+        else:
+            txn.inside = self.within(account, txn.units)
+        return not (txn.inside or quota.pays and self.roomy())
+
+    def unread(self, txn):
+        """Whether a txn waits for its account's count: see `ask_first`. Where calls fail, by chance only."""
+        return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
+                and self.random() * self.stretch < 1.0 and self.mark(CALL))
 
     def may_decline(self, txn):
         """Rule 2: a decline only where no submission can have run, or a repeat is dropped everywhere."""
@@ -303,11 +318,14 @@
         key = f"{plan}|{text}"
         account = self.accounts.get(key)
         if account is None:
-            quota, now = self.quotas[plan], self.now
-            rate = self.ledger(key, quota.window, quota.limit, nodes, TICK) if quota.rate > 0 else None
-            gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH) if quota.cap > 0 else None
+            quota, now, rate, gauge = self.quotas[plan], self.now, None, None
+            thin = self.counts and 0 < (quota.limit or quota.cap) < nodes * quota.typical
+            if quota.rate > 0 and not thin:
+                rate = self.ledger(key, quota.window, quota.limit, nodes, TICK)
+            if quota.cap > 0 and not (thin and quota.rate <= 0):
+                gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH)
             # Guards against a restart that fills the ceiling again: our share counts as spent at our start.
-            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began)
+            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began, thin)
             self.remind(quota.idle, self.retire, account)
         account.used_at, account.nodes = self.now, max(account.nodes, nodes)
         return account
@@ -410,6 +428,33 @@
             window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
             self.gauge(account)
 
+    def ask_first(self, txn, found):
+        """The one txn that is held: at an account's node that sees it about once a window, whose share of the
+        quota is under one txn, no reading is in time for the next txn. So each asks with an add of its units
+        before it is sent on, for as long as the counter takes or its time-out. One name serves a long epoch:
+        adds grow as fast as counts fade, so that one total is a window's count, weighted by age."""
+        account, quota = txn.account, txn.account.quota
+        length = quota.fade * FADES
+        number, age = divmod(self.now + self.name(account.key, "phase") % length, length)
+        name = self.name(account.key, number)
+        txn.scale = self.stretch * exp(age / quota.fade)  # those that ask stand for those that don't
+        self.asked.setdefault(name, []).append(txn)
+        self.effects.append(t.Add(name, round(txn.units * txn.scale, 4), min(length, 60 * SEC)))
+
+    def on_answer(self, txn, told):
+        """What is asked for is counted, let in or not, so beyond the limit a chance lets in the quota's part."""
+        quota = txn.account.quota
+        if told.how == t.DONE:
+            count = max(0.0, told.total / txn.scale * self.stretch - txn.units * self.stretch)
+            count = count * (1.0 if quota.rate > 0 else txn.line.mean / quota.fade) + txn.units
+            txn.chance = min(1.0, (quota.burst or quota.cap) / count)
+            quota.inside += 0.05 * (txn.chance - quota.inside)
+        self.step(txn, READ)
+
+    def name(self, key, number):
+        digest = blake2b(f"{key}|{number}".encode(), digest_size=8).digest()
+        return int.from_bytes(digest, "big") >> 1  # the same at every node
+
     def hasten(self, ledger):
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
@@ -436,12 +481,17 @@
             self.call(ledger, window, max(0.0, round(grown, 4)))
 
     def call(self, ledger, window, amount, account=None):
-        digest = blake2b(f"{ledger.key}|{window.number}".encode(), digest_size=8).digest()
-        name = int.from_bytes(digest, "big") >> 1  # the same at every node
+        name = self.name(ledger.key, window.number)
         self.calls[name], window.flying = (ledger, window, account), amount
         self.effects.append(t.Add(name, amount, min(3 * ledger.length, 60 * SEC)))
 
     def on_counted(self, told):
+        if told.name in self.asked:
+            txn = self.asked[told.name].pop(0)
+            if not self.asked[told.name]:
+                del self.asked[told.name]
+            self.mark(ANSWER if told.how == t.DONE else FAILURE)
+            return self.on_answer(txn, told) if txn.state == ASKED else None
         ledger, window, account = self.calls.pop(told.name, (None, None, None))
         if ledger is None:
             return
@@ -553,9 +603,14 @@
 
 # state, input: (guard, next state, effect) in the order tried
 TXN = {
-    (NEW, ARRIVED): ((Node.beyond, OVER, Node.decline),
+    (NEW, ARRIVED): ((Node.unread, ASKED, Node.ask_first),
+                     (Node.beyond, OVER, Node.decline),
                      (Node.choose, OUT, Node.submit),
                      (Node.always, OVER, Node.decline)),
+    (ASKED, READ): ((Node.beyond, OVER, Node.decline),
+                    (Node.choose, OUT, Node.submit),
+                    (Node.always, OVER, Node.decline)),
+    (ASKED, LEFT): ((Node.always, OVER, Node.close),),
     (OUT, SETTLED): ((Node.always, OVER, Node.close),),
     (OUT, UNRUN): ((Node.again, OUT, Node.submit),
                    (Node.may_decline, OVER, Node.decline),
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -46,6 +46,7 @@
     rate: Ledger | None
     gauge: Ledger | None
     store_at: int
+    thin: bool  # this node's share of its quota is under one txn
     store: float = 0.0  # this node's own share of the ceiling
     out: int = 0  # submissions out
 
@@ -84,3 +85,5 @@
     risk_zone: int = 0
     risk_cell: int = 0
     inside: bool = False  # counted against the quota
+    chance: float | None = None  # of being inside, by the count that it asked for
+    scale: float = 1.0  # what a unit weighed in that count
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -51,6 +51,8 @@
     may_probe: bool
     may_cancel: bool
     has_counter: bool
+    counter_wait: int  # a call without an answer by then has timed out
+    largest: float  # most units of one txn
     subscribes: bool  # the server list must be asked for
     longest_advice: int  # 0: clients take no advice
     tick: int  # shortest gap between two inputs
