What probes report weighs in the pick, the more the less own txns tell

Cause: with hundreds of nodes one node's txns tell nothing of one app server; slow ones get their full share and queue. A node earns more probes where own answers are few, and a fleet past 16 app servers is entered by those heard of within 2 s; each report is used once.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -10,6 +10,7 @@
 Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds.
 """
 
+from collections import deque
 from hashlib import blake2b
 from math import exp, inf, log
 from random import Random
@@ -35,7 +36,11 @@
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
-PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes
+PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes,
+PROBE_THIN = 0.8  # and this much more where its own txns tell nothing of an app server
+HEARD = 4  # app servers kept as heard of, for a fleet past LOOKS
+HEARD_FRESH = 2 * SEC  # what a probe told holds so long
+LOADS = {"inflight": 1.0, "queue": 1.0, "util": 0.1, "latency_ms": 1.0, "wait": 1.0}  # reports, with a floor
 LOOKS = 16  # app servers looked at for a txn or a probe
 REACH = 1.0  # room saved up at most, in submissions times seconds
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
@@ -96,6 +101,7 @@
         self.ref, self.spare = 0, SPARE_MOST
         self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
         self.each = 0.0  # fading count of txns that a warm app server settled for us
+        self.heard, self.usual = deque(maxlen=HEARD), {}  # app servers that a probe told of; its usual figures
         self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
         self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
 
@@ -154,7 +160,7 @@
         txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
                                         self.now + told.expires_in, NEW)
         self.step(txn, ARRIVED)
-        self.sight += PROBE_SHARE if self.probes else 0.0
+        self.sight += PROBE_SHARE + PROBE_THIN / (1.0 + self.each) if self.probes else 0.0
         if self.sight >= 1.0 and self.up:
             self.probe()
 
@@ -230,7 +236,10 @@
         sound = [(s, room) for s, room in pool
                  if s.lost < 1 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
         pool = sound or pool
-        return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
+        server = self.pick([s for s, _ in pool], [room for _, room in pool])[0]
+        if server in self.heard:
+            self.heard.remove(server)  # what a probe told is used once, so that none is crowded for it
+        return server
 
     def fits(self):
         """Whether the limits leave room. Guards against many nodes that each have little room at an app server
@@ -261,7 +270,10 @@
         if bound and (line.kind == t.ONCE_ONLY or now + self.margin >= txn.risk_at + line.window):
             return []
         group = line.group if bound else t.ALL
-        some = self.up if bound or len(self.up) <= LOOKS else self.sample(self.up, LOOKS)
+        some = self.up
+        if not bound and len(some) > LOOKS:
+            fresh = [s for s in self.heard if self.now - s.told_at < HEARD_FRESH and s.id != txn.last]
+            some = fresh if fresh and self.each < 1.0 else self.sample(some, LOOKS)
         return [s for s in some if s.state == t.UP  # rule 3, without the grace
                 and (group != t.ZONE or s.zone == txn.risk_zone)
                 and (group != t.CELL or s.cell == txn.risk_cell)
@@ -550,7 +562,7 @@
 
     def room(self, server):
         near = 1.0 if server.zone == self.zone else self.near
-        return (server.limit - server.out) * self.ready(server) / server.pace * near
+        return (server.limit - server.out) * self.ready(server) / server.pace * near / server.load ** (2.0 / (1.0 + server.won + server.lost))
 
     def roomy(self):
         self.look()
@@ -564,6 +576,7 @@
         keep = 0.5 ** ((self.now - server.judged_at) / MEMORY)
         server.won, server.lost, server.judged_at = server.won * keep, server.lost * keep, self.now
         server.pace += (1.0 - server.pace) * (1.0 - keep)
+        server.load += (1.0 - server.load) * (1.0 - keep)
         return server.won
 
     def judge(self, server, txn, told):
@@ -598,8 +611,21 @@
         server.probing = False
         self.fade(server)  # guards against hangs; a good probe proves nothing, as fast failers answer too
         server.lost += told.how != t.DONE
+        if told.how == t.DONE:
+            server.load, server.told_at = self.load(told), self.now
+            self.heard.append(server)
         self.let_go(server)
 
+    def load(self, told):
+        """How much busier than usual a probe found its app server, by the worst of its figures."""
+        worst = 0.25
+        for name, value in {**told.report, "wait": told.took / MS}.items():
+            if name in LOADS:
+                usual = self.usual.get(name, value)
+                worst = max(worst, (value + LOADS[name]) / (usual + LOADS[name]))
+                self.usual[name] = usual + 0.05 * (min(value, 4 * usual) - usual)
+        return worst
+
 
 # state, input: (guard, next state, effect) in the order tried
 TXN = {
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -67,6 +67,8 @@
     heard_at: int = 0  # its last answer or probe
     log: deque = field(default_factory=deque)  # what it was sent while cold
     probing: bool = False
+    load: float = 1.0  # how busy a probe found it, over the usual
+    told_at: int = 0
 
 
 @slotted
