--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -69,7 +69,7 @@
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
-        self.typical, self.inside = typical, 1.0  # units of a txn; share inside the quota, of thin accounts
+        self.typical = typical  # units of a txn
         self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else sla // 4
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
@@ -201,13 +201,16 @@
 
     def beyond(self, txn):
         """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
-        account, quota = txn.account, txn.account.quota
+        account = txn.account
         if account.thin:
-            told = txn.chance  # with no answer, what the plan's accounts lately had inside is held against costs
-            txn.inside = self.random() < (quota.inside > (1 - quota.inside) * quota.costs if told is None else told)
+            txn.inside = txn.chance is not None and self.random() < txn.chance
         else:
             txn.inside = self.within(account, txn.units)
-        return not (txn.inside or quota.pays and self.roomy())
+        if txn.inside or account.quota.pays and self.roomy(1.0):
+            return False
+        # Guards against unknown txns that take the room of those known to be inside: they go with what is spare,
+        # the more sparingly the more it costs to be wrong.
+        return not (account.thin and txn.chance is None and self.roomy(account.quota.costs))
 
     def unread(self, txn):
         """Whether a txn waits for its account's count: see `ask_first`. Where calls fail, by chance only."""
@@ -460,7 +463,6 @@
             count = max(0.0, told.total / txn.scale * self.stretch - txn.units * self.stretch)
             count = count * (1.0 if quota.rate > 0 else txn.line.mean / quota.fade) + txn.units
             txn.chance = min(1.0, (quota.burst or quota.cap) / count)
-            quota.inside += 0.05 * (txn.chance - quota.inside)
         self.step(txn, READ)
 
     def name(self, key, number):
@@ -564,9 +566,9 @@
         near = 1.0 if server.zone == self.zone else self.near
         return (server.limit - server.out) * self.ready(server) / server.pace * near / server.load ** (2.0 / (1.0 + server.won + server.lost))
 
-    def roomy(self):
+    def roomy(self, spare):
         self.look()
-        return self.free > sum(s.out for s in self.up)
+        return self.free > spare * sum(s.out for s in self.up)
 
     def odds(self, server):
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
