--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -451,18 +451,23 @@
         account, quota = txn.account, txn.account.quota
         length = quota.fade * FADES
         number, age = divmod(self.now + self.name(account.key, "phase") % length, length)
-        name = self.name(account.key, number)
+        txn.name = self.name(account.key, number)
         txn.scale = self.stretch * exp(age / quota.fade)  # those that ask stand for those that don't
-        self.asked.setdefault(name, []).append(txn)
-        self.effects.append(t.Add(name, round(txn.units * txn.scale, 4), min(length, 60 * SEC)))
+        self.asked.setdefault(txn.name, []).append(txn)
+        self.effects.append(t.Add(txn.name, round(txn.units * txn.scale, 4), min(length, 60 * SEC)))
+
+    def take_back(self, txn, found):
+        self.decline(txn, found)
+        if txn.chance is not None and self.mark(CALL):
+            self.asked.setdefault(txn.name, []).append(txn)
+            self.effects.append(t.Add(txn.name, -round(txn.units * txn.scale, 4), SEC))
 
     def on_answer(self, txn, told):
-        """What is asked for is counted, let in or not, so beyond the limit a chance lets in the quota's part."""
         quota = txn.account.quota
         if told.how == t.DONE:
             count = max(0.0, told.total / txn.scale * self.stretch - txn.units * self.stretch)
             count = count * (1.0 if quota.rate > 0 else txn.line.mean / quota.fade) + txn.units
-            txn.chance = min(1.0, (quota.burst or quota.cap) / count)
+            txn.chance = float(count <= (quota.burst or quota.cap) + 1e-6)
         self.step(txn, READ)
 
     def name(self, key, number):
@@ -635,9 +640,9 @@
                      (Node.beyond, OVER, Node.decline),
                      (Node.choose, OUT, Node.submit),
                      (Node.always, OVER, Node.decline)),
-    (ASKED, READ): ((Node.beyond, OVER, Node.decline),
+    (ASKED, READ): ((Node.beyond, OVER, Node.take_back),
                     (Node.choose, OUT, Node.submit),
-                    (Node.always, OVER, Node.decline)),
+                    (Node.always, OVER, Node.take_back)),
     (ASKED, LEFT): ((Node.always, OVER, Node.close),),
     (OUT, SETTLED): ((Node.always, OVER, Node.close),),
     (OUT, UNRUN): ((Node.again, OUT, Node.submit),
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -89,3 +89,4 @@
     inside: bool = False  # counted against the quota
     chance: float | None = None  # of being inside, by the count that it asked for
     scale: float = 1.0  # what a unit weighed in that count
+    name: int = 0  # of that count
