--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -63,14 +63,14 @@
 class Quota:
     """A plan: window and limit of its rate, cap on submissions out, ceiling, and if going beyond it pays."""
 
-    def __init__(self, plan, typical, sla):
+    def __init__(self, plan, typical):
         self.rate, self.burst, self.cap = plan.rate, plan.burst, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
         self.typical = typical  # units of a txn
-        self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else sla // 4
+        self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else 0
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
 
@@ -81,8 +81,7 @@
         self.pick, self.beta, self.uniform = chance.choices, chance.betavariate, chance.uniform
         self.random, self.sample = chance.random, chance.sample
         self.lines = [Line(product) for product in terms.products]
-        sla = min(line.sla for line in self.lines)
-        self.quotas = [Quota(plan, terms.largest / 2, sla) for plan in terms.plans]
+        self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
         self.call_wait = terms.counter_wait
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
@@ -191,8 +190,8 @@
                 txn.state = then
                 effect(self, txn, found)
                 break
-        if txn.state == OVER and txn.out == 0:
-            self.txns.pop(txn.id, None)
+        if txn.state == OVER and txn.out == 0 and self.txns.pop(txn.id, None) and txn.told:
+            self.give_back(txn)
 
     # ---- guards
 
@@ -203,14 +202,14 @@
         """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
         account = txn.account
         if account.thin:
-            txn.inside = txn.chance is not None and self.random() < txn.chance
+            txn.inside = txn.told and txn.count <= (account.quota.burst or account.quota.cap) + 1e-6
         else:
             txn.inside = self.within(account, txn.units)
         if txn.inside or account.quota.pays and self.roomy(1.0):
             return False
         # Guards against unknown txns that take the room of those known to be inside: they go with what is spare,
         # the more sparingly the more it costs to be wrong.
-        return not (account.thin and txn.chance is None and self.roomy(account.quota.costs))
+        return not (account.thin and not txn.told and self.roomy(account.quota.costs))
 
     def unread(self, txn):
         """Whether a txn waits for its account's count: see `ask_first`. Where calls fail, by chance only."""
@@ -449,27 +448,25 @@
         before it is sent on, for as long as the counter takes or its time-out. One name serves a long epoch:
         adds grow as fast as counts fade, so that one total is a window's count, weighted by age."""
         account, quota = txn.account, txn.account.quota
-        length = quota.fade * FADES
+        length = quota.fade * FADES if quota.rate > 0 else EPOCH
         number, age = divmod(self.now + self.name(account.key, "phase") % length, length)
         txn.name = self.name(account.key, number)
-        txn.scale = self.stretch * exp(age / quota.fade)  # those that ask stand for those that don't
+        txn.scale = self.stretch * (exp(age / quota.fade) if quota.rate > 0 else 1.0)  # some ask for all
         self.asked.setdefault(txn.name, []).append(txn)
         self.effects.append(t.Add(txn.name, round(txn.units * txn.scale, 4), min(length, 60 * SEC)))
 
-    def take_back(self, txn, found):
-        self.decline(txn, found)
-        if txn.chance is not None and self.mark(CALL):
-            self.asked.setdefault(txn.name, []).append(txn)
-            self.effects.append(t.Add(txn.name, -round(txn.units * txn.scale, 4), SEC))
-
     def on_answer(self, txn, told):
-        quota = txn.account.quota
         if told.how == t.DONE:
-            count = max(0.0, told.total / txn.scale * self.stretch - txn.units * self.stretch)
-            count = count * (1.0 if quota.rate > 0 else txn.line.mean / quota.fade) + txn.units
-            txn.chance = float(count <= (quota.burst or quota.cap) + 1e-6)
+            txn.told = True
+            txn.count = max(0.0, told.total / txn.scale - txn.units) * self.stretch + txn.units
         self.step(txn, READ)
 
+    def give_back(self, txn):
+        """What was declined goes out of the count again, and under a cap what has ended."""
+        if not (txn.sent and txn.account.quota.rate > 0) and self.mark(CALL):
+            self.asked.setdefault(txn.name, []).append(txn)
+            self.effects.append(t.Add(txn.name, -round(txn.units * txn.scale, 4), SEC))
+
     def name(self, key, number):
         digest = blake2b(f"{key}|{number}".encode(), digest_size=8).digest()
         return int.from_bytes(digest, "big") >> 1  # the same at every node
@@ -640,9 +637,9 @@
                      (Node.beyond, OVER, Node.decline),
                      (Node.choose, OUT, Node.submit),
                      (Node.always, OVER, Node.decline)),
-    (ASKED, READ): ((Node.beyond, OVER, Node.take_back),
+    (ASKED, READ): ((Node.beyond, OVER, Node.decline),
                     (Node.choose, OUT, Node.submit),
-                    (Node.always, OVER, Node.take_back)),
+                    (Node.always, OVER, Node.decline)),
     (ASKED, LEFT): ((Node.always, OVER, Node.close),),
     (OUT, SETTLED): ((Node.always, OVER, Node.close),),
     (OUT, UNRUN): ((Node.again, OUT, Node.submit),
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -87,6 +87,7 @@
     risk_zone: int = 0
     risk_cell: int = 0
     inside: bool = False  # counted against the quota
-    chance: float | None = None  # of being inside, by the count that it asked for
+    told: bool = False  # its account's count was told before it was sent on
+    count: float = 0.0  # that count, with its own units
     scale: float = 1.0  # what a unit weighed in that count
     name: int = 0  # of that count
