--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -69,7 +69,7 @@
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
-        self.typical = typical  # units of a txn
+        self.typical, self.share = typical, 0.5  # units of a txn; part of the thin ones that is inside
         self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else 0
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
@@ -203,13 +203,17 @@
         account = txn.account
         if account.thin:
             txn.inside = txn.told and txn.count <= (account.quota.burst or account.quota.cap) + 1e-6
+            account.quota.share += 0.03 * (txn.inside - account.quota.share) if txn.told else 0.0
         else:
             txn.inside = self.within(account, txn.units)
         if txn.inside or account.quota.pays and self.roomy(1.0):
             return False
-        # Guards against unknown txns that take the room of those known to be inside: they go with what is spare,
-        # the more sparingly the more it costs to be wrong.
-        return not (account.thin and not txn.told and self.roomy(account.quota.costs))
+        if txn.told or not account.thin:
+            return True
+        # Guards against unknown txns that cost more than they earn: what share of its plan was lately told to be
+        # inside weighs against twice the costs of the rest, which take room too; else they go with what is spare.
+        share, costs = account.quota.share, account.quota.costs
+        return not (share > 2.0 * (1.0 - share) * costs or self.roomy(costs))
 
     def unread(self, txn):
         """Whether a txn waits for its account's count: see `ask_first`. Where calls fail, by chance only."""
