Limits pooled over the fleet where an app server has few answers

An answer moves its app server's own limit in full and the fleet's by what is not known of that app server.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -43,6 +43,7 @@
 LOADS = {"inflight": 1.0, "queue": 1.0, "util": 0.1, "latency_ms": 1.0, "wait": 1.0}  # reports, with a floor
 LOOKS = 16  # app servers looked at for a txn or a probe
 REACH = 1.0  # room saved up at most, in submissions times seconds
+DOUBT = 4.0  # answers of an app server that weigh as much as what is known of the fleet
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
@@ -87,6 +88,7 @@
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.margin, self.cancels = 2 * terms.tick, terms.may_cancel
         self.near, self.start = 1.0 / (1.0 + 100.0 * terms.cross_zone_price), OPEN_START / terms.nodes
+        self.bar = self.start  # limit of an app server that nothing is known of
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
         self.began, self.now, self.effects = now, now, []
@@ -141,10 +143,10 @@
                 continue
             server = self.servers.get(row.server)
             if server is None:
-                server = self.servers[row.server] = Server(row.server, self.start)
+                server = self.servers[row.server] = Server(row.server, self.bar)
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
-                server.pace, server.limit = 1.0, self.start
+                server.pace, server.limit = 1.0, self.bar
                 server.log.clear()
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
@@ -261,7 +263,7 @@
         self.saved_at = self.now
         if past > SEC // 10:
             self.looked_at = self.now
-            self.free = sum(max(-1.0, s.limit * self.ready(s) - s.out) for s in self.up)
+            self.free = sum(max(-1.0, self.limit(s) * self.ready(s) - s.out) for s in self.up)
             warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
             self.each = sum(warm) / len(warm) if warm else self.each  # with none warm, the last guess stands
 
@@ -568,9 +570,16 @@
             return 1.0
         return self.cold + (1.0 - self.cold) * age / self.warm_within
 
+    def limit(self, server):
+        """Its own, as far as it has answered lately, and for the rest the fleet's: few answers are few facts."""
+        return self.bar + (server.limit - self.bar) * self.known(server)
+
+    def known(self, server):
+        return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
+
     def room(self, server):
         near = 1.0 if server.zone == self.zone else self.near
-        return (server.limit - server.out) * self.ready(server) / server.pace * near / server.load ** (2.0 / (1.0 + server.won + server.lost))
+        return (self.limit(server) - server.out) * self.ready(server) / server.pace * near / server.load ** (2.0 / (1.0 + server.won + server.lost))
 
     def roomy(self, spare):
         self.look()
@@ -592,7 +601,7 @@
         if told.how in (t.CANCELLED, t.UNSENT):
             return
         self.fade(server)
-        server.heard_at = self.now
+        server.heard_at, rest = self.now, 1.0 - self.known(server)
         server.won, server.lost = server.won + done, server.lost + (not done)
         if done:
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
@@ -601,8 +610,12 @@
         if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
             server.limit = max(0.25 * self.start, server.limit * 0.8)
-        elif done and server.out + 1 >= 0.5 * server.limit:
-            server.limit += GROWTH * self.start * self.start / server.limit
+            self.bar = max(0.25 * self.start, self.bar * (1.0 - 0.2 * rest))
+        elif done:
+            if server.out + 1 >= 0.5 * server.limit:
+                server.limit += GROWTH * self.start * self.start / server.limit
+            if self.saved < REACH:
+                self.bar += rest * GROWTH * self.start * self.start / self.bar
 
     def probe(self):
         """One of a few app servers: the longest unheard of, the doubtful sooner. Earned by own txns, so that
