--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -583,7 +583,7 @@
 
     def roomy(self, spare):
         self.look()
-        return self.free > spare * sum(s.out for s in self.up)
+        return (spare <= 1.0 or self.saved >= REACH) and self.free > spare * sum(s.out for s in self.up)
 
     def odds(self, server):
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
