App servers known from own answers are preferred; a probe counts by one figure

Cause: what worked in the earlier weighing was an accident: usual figures stuck at nothing made probed ones, those long unheard of, look busy.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -40,7 +40,7 @@
 PROBE_THIN = 0.8  # and this much more where its own txns tell nothing of an app server
 HEARD = 4  # app servers kept as heard of, for a fleet past LOOKS
 HEARD_FRESH = 2 * SEC  # what a probe told holds so long
-LOADS = {"inflight": 1.0, "queue": 1.0, "util": 0.1, "latency_ms": 1.0, "wait": 1.0}  # reports, with a floor
+LOADS = {"inflight": 1.0, "queue": 1.0, "util": 0.1, "latency_ms": 50.0, "wait": 50.0}  # of one submission
 LOOKS = 16  # app servers looked at for a txn or a probe
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT = 4.0  # answers of an app server that weigh as much as what is known of the fleet
@@ -578,8 +578,9 @@
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
     def room(self, server):
+        known = self.known(server)
         near = 1.0 if server.zone == self.zone else self.near
-        return (self.limit(server) - server.out) * self.ready(server) / server.pace * near / server.load ** (2.0 / (1.0 + server.won + server.lost))
+        return (self.limit(server) - server.out) * self.ready(server) / server.pace * near * (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
 
     def roomy(self, spare):
         self.look()
@@ -638,14 +639,9 @@
         self.let_go(server)
 
     def load(self, told):
-        """How much busier than usual a probe found its app server, by the worst of its figures."""
-        worst = 0.25
-        for name, value in {**told.report, "wait": told.took / MS}.items():
-            if name in LOADS:
-                usual = self.usual.get(name, value)
-                worst = max(worst, (value + LOADS[name]) / (usual + LOADS[name]))
-                self.usual[name] = usual + 0.05 * (min(value, 4 * usual) - usual)
-        return worst
+        """How much busier than usual a probe found its app server, by its most telling figure."""
+        name = next((name for name in LOADS if name in told.report), "wait")
+        return 1.0 + told.report.get(name, told.took / MS) / LOADS[name]
 
 
 # state, input: (guard, next state, effect) in the order tried
