No further submission once a late answer earns nothing

Covers every trouble that makes answers late; harm: a client that would still use a late answer of such a product goes without.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -227,8 +227,10 @@
         return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
-        """A further submission: from what is saved up, so that trouble everywhere starts no storm."""
-        return self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
+        """A further submission: from what is saved up, so that trouble everywhere starts no storm, and only
+        while its answer may still earn something."""
+        worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
+        return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
