Time is left for another submission only where five typical times fit

Cause: early time-outs double the load where work that is given up still runs. Harm: a hang of short products is noticed a little later.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -319,7 +319,7 @@
         allow = rest if line.late > 0 or left <= 0 else min(left, rest)
         # Guards against an app server that takes work and answers nothing: time is left for another one. Not
         # once typical times near that part, as when all are slow: a further submission would only add load.
-        if line.kind != t.ONCE_ONLY and txn.sent < self.most and left > 3 * TYPICAL * line.mean > 0:
+        if line.kind != t.ONCE_ONLY and txn.sent < self.most and left > 5 * TYPICAL * line.mean > 0:
             allow = min(allow, int(left - TYPICAL * line.mean))
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
 
