--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -71,7 +71,9 @@
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
         self.typical, self.share = typical, 0.5  # units of a txn; part of the thin ones that is inside
-        self.fade = int(plan.burst / plan.rate * SEC) if plan.rate > 0 else 0
+        self.most = plan.burst if plan.rate > 0 else plan.at_once  # a thin account's count at most,
+        self.fade = plan.burst / plan.rate * SEC if plan.rate > 0 else inf  # the time in which it fades,
+        self.life = int(self.fade * FADES) if plan.rate > 0 else EPOCH  # and how long one name serves for it
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
 
@@ -83,10 +85,9 @@
         self.random, self.sample = chance.random, chance.sample
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
-        self.call_wait = terms.counter_wait
         self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
-        self.margin, self.cancels = 2 * terms.tick, terms.may_cancel
+        self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
         self.near, self.start = 1.0 / (1.0 + 100.0 * terms.cross_zone_price), OPEN_START / terms.nodes
         self.bar = self.start  # limit of an app server that nothing is known of
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
@@ -96,13 +97,12 @@
         self.servers = {}  # emptied as the list drops them, once nothing of ours is out there
         self.accounts = {}  # emptied when idle for two windows, by `retire`
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
-        self.calls = {}  # calls to the counter under way, by name; emptied by their answers
-        self.asked = {}  # txns that wait for such an answer, by name; emptied in the same way
+        self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
         self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
         self.each = 0.0  # fading count of txns that a warm app server settled for us
-        self.heard, self.usual = deque(maxlen=HEARD), {}  # app servers that a probe told of; its usual figures
+        self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
         self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
 
@@ -146,8 +146,7 @@
                 server = self.servers[row.server] = Server(row.server, self.bar)
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
-                server.pace, server.limit = 1.0, self.bar
-                server.log.clear()
+                server.pace, server.limit, server.turn_at = 1.0, self.bar, 0
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
         self.up = [s for s in self.servers.values() if s.state == t.UP]
@@ -171,7 +170,7 @@
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
         txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
-        self.gauge(txn.account, -1)
+        txn.account.out -= 1
         self.judge(server, txn, told)
         self.let_go(server)
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
@@ -204,7 +203,7 @@
         """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
         account = txn.account
         if account.thin:
-            txn.inside = txn.told and txn.count <= (account.quota.burst or account.quota.cap) + 1e-6
+            txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
             account.quota.share += 0.03 * (txn.inside - account.quota.share) if txn.told else 0.0
         else:
             txn.inside = self.within(account, txn.units)
@@ -290,14 +289,14 @@
                 and self.bears(s)]
 
     def bears(self, server):
-        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what
-        a warm one does for us: our part of what one does for all. All that was sent counts."""
+        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what a warm
+        one does for us: our part of what one does for all. A part below one is a chance, drawn once a span,
+        so that the parts of hundreds of nodes sum to the budget. All that was sent counts."""
         ready = self.ready(server)
-        if ready >= 1.0:
-            return True
-        while server.log and server.log[0] <= self.now - self.span:
-            server.log.popleft()
-        return len(server.log) < max(1.0, self.cold_rate * ready * self.each)
+        if ready < 1.0 and self.now >= server.turn_at:
+            server.turn_at = self.now + self.span
+            server.slots = int(self.cold_rate * ready * self.each + self.random())
+        return ready >= 1.0 or server.slots > 0
 
     # ---- effects
 
@@ -310,9 +309,8 @@
             self.count(txn)
         txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
         server.out, self.free = server.out + 1, self.free - 1.0
-        self.gauge(txn.account, 1)
-        if self.ready(server) < 1.0:
-            server.log.append(now)
+        txn.account.out += 1
+        server.slots -= 1
         if txn.risk_at is None:
             txn.risk_zone, txn.risk_cell = server.zone, server.cell
         left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
@@ -340,23 +338,18 @@
         key = f"{plan}|{text}"
         account = self.accounts.get(key)
         if account is None:
-            quota, now, rate, gauge = self.quotas[plan], self.now, None, None
+            quota, now, rate = self.quotas[plan], self.now, None
             thin = self.counts and 0 < (quota.limit or quota.cap) < nodes * quota.typical
             if quota.rate > 0 and not thin:
-                rate = self.ledger(key, quota.window, quota.limit, nodes, TICK)
-            if quota.cap > 0 and not (thin and quota.rate <= 0):
-                gauge = self.ledger(key + "|out", EPOCH, quota.cap, nodes, LEVEL_FRESH)
+                number = now // quota.window
+                rate = Ledger(key, quota.window, quota.limit, nodes, now, Window(number), Window(number - 1),
+                              inf, now)
             # Guards against a restart that fills the ceiling again: our share counts as spent at our start.
-            account = self.accounts[key] = Account(key, quota, nodes, now, rate, gauge, self.began, thin)
+            account = self.accounts[key] = Account(key, quota, nodes, now, rate, self.began, thin)
             self.remind(quota.idle, self.retire, account)
         account.used_at, account.nodes = self.now, max(account.nodes, nodes)
         return account
 
-    def ledger(self, key, length, limit, nodes, pause):
-        number = self.now // length
-        windows = Window(number), Window(number - 1)
-        return Ledger(key, length, limit, nodes, pause, self.now, *windows, inf, self.now)
-
     def roll(self, ledger):
         """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
         number, last = self.now // ledger.length, ledger.now
@@ -396,23 +389,27 @@
             ledger.spare, ledger.spare_at = min(account.quota.burst, ledger.spare + gain), self.now
             if own + others + units > ledger.limit + 1e-9 or units > ledger.spare + 1e-9:
                 return False
-        return account.gauge is None or self.below_cap(account, account.gauge)
-
-    def below_cap(self, account, ledger):
-        """A cap on submissions out at once, by the last total; with none of ours out, one may try."""
-        left = self.roll(ledger)
-        age = self.now - ledger.read_at
-        early = (1.0 - left) * EPOCH < max(age, LEVEL_FRESH)  # not all have told anew in it
-        others = max(ledger.now.held, ledger.past.held if early else 0.0)
+        return account.quota.cap <= 0 or self.below_cap(account)
+
+    def below_cap(self, account):
+        """A cap on submissions out at once, by the epoch's last total; a decline asks for another."""
+        age, cap = self.now - account.level_at, account.quota.cap
+        others = account.level if age < EPOCH else 0.0
         if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
-            others = ledger.limit * (1 - 1 / ledger.nodes) - 0.5 if account.out else 0.0
-        free = account.out + others < ledger.limit
-        if not free and age > LEVEL_FRESH // 2:
-            self.gauge(account, ask=True)
+            others = cap * (1 - 1 / account.nodes) - 0.5 if account.out else 0.0
+        free = account.out + others < cap
+        if not free and age > LEVEL_FRESH and self.mark(CALL):
+            self.call(self.book(account)[0], 0.0, EPOCH, self.on_level, account)
         return free
 
+    def on_level(self, told, account, txn=None):
+        if told.how == t.DONE:
+            account.level, account.level_at = max(0.0, told.total - account.out), self.now
+            if txn:
+                txn.told = True
+
     def fresh(self, ledger):  # whether the others' figure still bounds what they sent on
-        return self.now - ledger.read_at < STALE * ledger.pause
+        return self.now - ledger.read_at < STALE * TICK
 
     def count(self, txn):
         account = txn.account
@@ -423,57 +420,35 @@
             ledger.now.own, ledger.spare = ledger.now.own + txn.units, ledger.spare - txn.units
             if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
-
-    def gauge(self, account, change=0, ask=False):
-        """Brings our part of the epoch's count to what is out now, by adds that may fall."""
-        account.out, ledger = account.out + change, account.gauge
-        if ledger is None:
-            return
-        self.roll(ledger)
-        grown = account.out - ledger.now.sent
-        if ledger.now.flying is None and (grown or ask) and self.mark(CALL):
-            self.call(ledger, ledger.now, grown, account)
-        if account.out and not ledger.armed:
-            ledger.armed = True
-            self.remind(EPOCH - self.now % EPOCH + self.uniform(0.0, 20.0) * MS, self.new_epoch, account)
-
-    def new_epoch(self, account):
-        account.gauge.armed = False
-        self.gauge(account)
-
-    def on_level(self, account, ledger, window, amount, told):
-        """A timed-out add counts as landed: a wrong guess is off by one and gone with the epoch."""
-        if told.how in (t.DONE, t.TIMED_OUT):
-            window.sent += amount
-        if told.how == t.DONE:
-            window.sent = min(window.sent, max(0.0, told.total))  # a lower total is a loss: ours is put back
-            window.held, ledger.read_at = max(0.0, told.total - window.sent), self.now
-            self.gauge(account)
+        if account.quota.cap > 0 and not account.thin and self.mark(CALL):
+            txn.name = self.book(account)[0]
+            self.call(txn.name, 1, EPOCH, self.on_level, account, txn)
 
     def ask_first(self, txn, found):
         """The one txn that is held: at an account's node that sees it about once a window, whose share of the
         quota is under one txn, no reading is in time for the next txn. So each asks with an add of its units
         before it is sent on, for as long as the counter takes or its time-out. One name serves a long epoch:
         adds grow as fast as counts fade, so that one total is a window's count, weighted by age."""
-        account, quota = txn.account, txn.account.quota
-        length = quota.fade * FADES if quota.rate > 0 else EPOCH
-        number, age = divmod(self.now + self.name(account.key, "phase") % length, length)
-        txn.name = self.name(account.key, number)
-        txn.scale = self.stretch * (exp(age / quota.fade) if quota.rate > 0 else 1.0)  # some ask for all
-        self.asked.setdefault(txn.name, []).append(txn)
-        self.effects.append(t.Add(txn.name, round(txn.units * txn.scale, 4), min(length, 60 * SEC)))
-
-    def on_answer(self, txn, told):
-        if told.how == t.DONE:
-            txn.told = True
+        quota = txn.account.quota
+        txn.name, age = self.book(txn.account)
+        txn.scale = self.stretch * exp(age / quota.fade)  # the few that ask stand for all
+        self.call(txn.name, round(txn.units * txn.scale, 4), quota.life, self.on_answer, txn)
+
+    def on_answer(self, told, txn):
+        if txn.state == ASKED:
+            txn.told = told.how == t.DONE
             txn.count = max(0.0, told.total / txn.scale - txn.units) * self.stretch + txn.units
-        self.step(txn, READ)
+            self.step(txn, READ)
 
     def give_back(self, txn):
         """What was declined goes out of the count again, and under a cap what has ended."""
         if not (txn.sent and txn.account.quota.rate > 0) and self.mark(CALL):
-            self.asked.setdefault(txn.name, []).append(txn)
-            self.effects.append(t.Add(txn.name, -round(txn.units * txn.scale, 4), SEC))
+            self.call(txn.name, -round(txn.units * txn.scale, 4), SEC, self.on_level, txn.account)
+
+    def book(self, account):
+        """The name of an account's one count and its age; names turn at moments spread over the accounts."""
+        number, age = divmod(self.now + self.name(account.key, "turn") % account.quota.life, account.quota.life)
+        return self.name(account.key, number), age
 
     def name(self, key, number):
         digest = blake2b(f"{key}|{number}".encode(), digest_size=8).digest()
@@ -483,7 +458,7 @@
         """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
-            self.arm(ledger, ledger.pause if self.fresh(ledger) else FIRST_ADD)
+            self.arm(ledger, TICK if self.fresh(ledger) else FIRST_ADD)
 
     def arm(self, ledger, wait):
         ledger.armed = True
@@ -494,35 +469,32 @@
         self.flush(ledger, ledger.past)
         self.flush(ledger, ledger.now)
         ledger.armed = False
-        if self.now - ledger.used_at < ledger.pause * self.stretch or ledger.now.doubt or ledger.now.flying:
-            self.arm(ledger, ledger.pause)
+        if self.now - ledger.used_at < TICK * self.stretch or ledger.now.doubt or ledger.now.flying:
+            self.arm(ledger, TICK)
 
     def flush(self, ledger, window):
         """Adds what has grown since the last successful add; the first add is also the first reading."""
         grown = window.own - window.sent - window.doubt
         asks = window is ledger.now and not self.fresh(ledger)  # the others' part is not known
         if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
-            self.call(ledger, window, max(0.0, round(grown, 4)))
+            amount = window.flying = max(0.0, round(grown, 4))
+            self.call(self.name(ledger.key, window.number), amount, 3 * ledger.length, self.on_total, ledger, window)
 
-    def call(self, ledger, window, amount, account=None):
-        name = self.name(ledger.key, window.number)
-        self.calls[name], window.flying = (ledger, window, account), amount
-        self.effects.append(t.Add(name, amount, min(3 * ledger.length, 60 * SEC)))
+    def call(self, name, amount, life, what, *about):
+        self.calls.setdefault(name, []).append((what, about))  # answers for a name come in the order of calls
+        self.effects.append(t.Add(name, amount, min(life, 60 * SEC)))
 
     def on_counted(self, told):
-        if told.name in self.asked:
-            txn = self.asked[told.name].pop(0)
-            if not self.asked[told.name]:
-                del self.asked[told.name]
+        waiting = self.calls.get(told.name)
+        if waiting:
+            what, about = waiting.pop(0)
+            if not waiting:
+                del self.calls[told.name]
             self.mark(ANSWER if told.how == t.DONE else FAILURE)
-            return self.on_answer(txn, told) if txn.state == ASKED else None
-        ledger, window, account = self.calls.pop(told.name, (None, None, None))
-        if ledger is None:
-            return
+            what(told, *about)
+
+    def on_total(self, told, ledger, window):
         amount, window.flying = window.flying, None
-        self.mark(ANSWER if told.how == t.DONE else FAILURE)
-        if account:
-            return self.on_level(account, ledger, window, amount, told)
         if told.how != t.DONE:  # after a time-out it may have landed: the next total tells
             window.doubt += amount if told.how == t.TIMED_OUT else 0.0
             return
@@ -580,9 +552,12 @@
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
     def room(self, server):
-        known = self.known(server)
+        """What its limit leaves, by its readiness, pace and zone. Where own answers are few, by what a probe told;
+        and those known by own answers come first, so that a node of a large fleet learns of a few."""
+        known, free = self.known(server), self.limit(server) - server.out
         near = 1.0 if server.zone == self.zone else self.near
-        return (self.limit(server) - server.out) * self.ready(server) / server.pace * near * (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
+        trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
+        return free * self.ready(server) / server.pace * near * trust
 
     def roomy(self, spare):
         self.look()
@@ -636,15 +611,12 @@
         self.fade(server)  # guards against hangs; a good probe proves nothing, as fast failers answer too
         server.lost += told.how != t.DONE
         if told.how == t.DONE:
-            server.load, server.told_at = self.load(told), self.now
+            figure = next((name for name in LOADS if name in told.report), "wait")
+            server.load = 1.0 + told.report.get(figure, told.took / MS) / LOADS[figure]
+            server.told_at = self.now
             self.heard.append(server)
         self.let_go(server)
 
-    def load(self, told):
-        """How much busier than usual a probe found its app server, by its most telling figure."""
-        name = next((name for name in LOADS if name in told.report), "wait")
-        return 1.0 + told.report.get(name, told.took / MS) / LOADS[name]
-
 
 # state, input: (guard, next state, effect) in the order tried
 TXN = {
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -1,7 +1,5 @@
 """What a node remembers, as plain rows; `choice.py` alone reads and changes them and says what empties it."""
 
-from collections import deque
-from dataclasses import field
 from math import inf
 
 from .terms import slotted
@@ -21,12 +19,11 @@
 
 @slotted
 class Ledger:
-    """Counts of one account against one limit: windows of `length`, told every `pause` or so."""
+    """Counts of one account against one limit: windows of `length`, told every tick."""
     key: str
     length: int
     limit: float
     nodes: int
-    pause: int
     used_at: int
     now: Window
     past: Window
@@ -44,11 +41,12 @@
     nodes: int
     used_at: int
     rate: Ledger | None
-    gauge: Ledger | None
     store_at: int
     thin: bool  # this node's share of its quota is under one txn
     store: float = 0.0  # this node's own share of the ceiling
     out: int = 0  # submissions out
+    level: float = 0.0  # the others' submissions out, as last told
+    level_at: int = -10 ** 18  # long ago
 
 
 @slotted
@@ -65,7 +63,8 @@
     lost: float = 0.0
     judged_at: int = 0
     heard_at: int = 0  # its last answer or probe
-    log: deque = field(default_factory=deque)  # what it was sent while cold
+    turn_at: int = 0  # while cold: end of its present span,
+    slots: int = 0  # and how many submissions it may get until then
     probing: bool = False
     load: float = 1.0  # how busy a probe found it, over the usual
     told_at: int = 0
