--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -89,7 +89,7 @@
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
         self.near, self.start = 1.0 / (1.0 + 100.0 * terms.cross_zone_price), OPEN_START / terms.nodes
-        self.bar = self.start  # limit of an app server that nothing is known of
+        self.limit = self.start  # limit of an app server that nothing is known of
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
         self.began, self.now, self.effects = now, now, []
@@ -143,10 +143,10 @@
                 continue
             server = self.servers.get(row.server)
             if server is None:
-                server = self.servers[row.server] = Server(row.server, self.bar)
+                server = self.servers[row.server] = Server(row.server)
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
-                server.pace, server.limit, server.turn_at = 1.0, self.bar, 0
+                server.pace, server.turn_at = 1.0, 0
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
         self.up = [s for s in self.servers.values() if s.state == t.UP]
@@ -264,7 +264,7 @@
         self.saved_at = self.now
         if past > SEC // 10:
             self.looked_at = self.now
-            self.free = sum(max(-1.0, self.limit(s) * self.ready(s) - s.out) for s in self.up)
+            self.free = sum(max(-1.0, self.limit * self.ready(s) - s.out) for s in self.up)
             warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
             self.each = sum(warm) / len(warm) if warm else self.each  # with none warm, the last guess stands
 
@@ -544,17 +544,13 @@
             return 1.0
         return self.cold + (1.0 - self.cold) * age / self.warm_within
 
-    def limit(self, server):
-        """Its own, as far as it has answered lately, and for the rest the fleet's: few answers are few facts."""
-        return self.bar + (server.limit - self.bar) * self.known(server)
-
     def known(self, server):
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
     def room(self, server):
         """What its limit leaves, by its readiness, pace and zone. Where own answers are few, by what a probe told;
         and those known by own answers come first, so that a node of a large fleet learns of a few."""
-        known, free = self.known(server), self.limit(server) - server.out
+        known, free = self.known(server), self.limit - server.out
         near = 1.0 if server.zone == self.zone else self.near
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * self.ready(server) / server.pace * near * trust
@@ -587,13 +583,9 @@
             server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
         if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on an app server that no longer keeps up, whatever slows it.
-            server.limit = max(0.25 * self.start, server.limit * 0.8)
-            self.bar = max(0.25 * self.start, self.bar * (1.0 - 0.2 * rest))
-        elif done:
-            if server.out + 1 >= 0.5 * server.limit:
-                server.limit += GROWTH * self.start * self.start / server.limit
-            if self.saved < REACH:
-                self.bar += rest * GROWTH * self.start * self.start / self.bar
+            self.limit = max(0.25 * self.start, self.limit * (1.0 - 0.2 * rest))
+        elif done and self.saved < REACH:
+            self.limit += rest * GROWTH * self.start * self.start / self.limit
 
     def probe(self):
         """One of a few app servers: the longest unheard of, the doubtful sooner. Earned by own txns, so that
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -52,7 +52,6 @@
 @slotted
 class Server:
     id: int
-    limit: float  # how much of our work it bears at once
     state: int = 0
     zone: int = 0
     cell: int = 0
