--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -34,7 +34,6 @@
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
 GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
-TYPICAL = 2.5  # times its mean time that a txn is given when another submission is to have room
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes,
 PROBE_THIN = 0.8  # and this much more where its own txns tell nothing of an app server
@@ -315,10 +314,6 @@
             txn.risk_zone, txn.risk_cell = server.zone, server.cell
         left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
         allow = rest if line.late > 0 or left <= 0 else min(left, rest)
-        # Guards against an app server that takes work and answers nothing: time is left for another one. Not
-        # once typical times near that part, as when all are slow: a further submission would only add load.
-        if line.kind != t.ONCE_ONLY and txn.sent < self.most and left > 5 * TYPICAL * line.mean > 0:
-            allow = min(allow, int(left - TYPICAL * line.mean))
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
 
     def close(self, txn, found):  # nothing is owed; what is out for a client that left is called off
