Shorter: shared rows in the table, probes by chance, caps read by their own adds

One row set for admission, one for further submissions; streams end by an outcome that is final, so they need no state.

--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -90,8 +90,7 @@
                          max(1, event.get("SetSize", 1)))
 
     def underway(self, event):
-        txn = self.txns.of.get(event["Req"])
-        return t.Began(txn) if txn is not None else None
+        return None  # a stream that has started ends with an outcome that is final
 
     def returned(self, event):
         how = word(ENDINGS, event["Ending"], "ending")
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -2,12 +2,10 @@
 
 Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return
 the effects, to be carried out in order. Inputs, effects and terms are the types of `terms.py`, times whole
-nanoseconds. A node knows only what it was told itself.
-
-Read `TXN` and `COUNTER` first: they are the decisions, `step` and `mark` merely read them. Every submission
-goes through `lawful` (rules 2 to 5) and `submit` (rule 1: each is cut off before the expiry, so its end,
-which is always told, leaves time for the final answer; no txn is ever held without a submission out).
-Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds.
+nanoseconds. Read `TXN` and `COUNTER` first: they are the decisions, `step` and `mark` merely read them. Every
+submission passes `lawful` (rules 2 to 5) and `submit` (rule 1: it ends, and is told to, before the expiry).
+Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds;
+where a node's share of a quota is under one txn, `ask_first` tells each txn's count before it is sent on.
 """
 
 from collections import deque
@@ -30,24 +28,21 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
-LEVEL_FRESH = SEC // 4  # a reading of that count holds so long; past half of it a decline asks for another
+LEVEL_FRESH = SEC  # a reading of that count holds so long
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
 GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
-PROBE_SHARE = 0.1  # probes that a node makes for each txn it takes,
-PROBE_THIN = 0.8  # and this much more where its own txns tell nothing of an app server
+PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing of an app server
 HEARD = 4  # app servers kept as heard of, for a fleet past LOOKS
-HEARD_FRESH = 2 * SEC  # what a probe told holds so long
-LOADS = {"inflight": 1.0, "queue": 1.0, "util": 0.1, "latency_ms": 50.0, "wait": 50.0}  # of one submission
 LOOKS = 16  # app servers looked at for a txn or a probe
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT = 4.0  # answers of an app server that weigh as much as what is known of the fleet
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
-NEW, ASKED, OUT, STREAM, OVER = "new", "asked", "out", "stream", "over"
-ARRIVED, READ, SETTLED, UNRUN, RISKY, BEGAN, LEFT = "arrived", "read", "settled", "unrun", "risky", "began", "left"
+NEW, ASKED, OUT, OVER = "new", "asked", "out", "over"
+ARRIVED, READ, SETTLED, UNRUN, RISKY, LEFT = "arrived", "read", "settled", "unrun", "risky", "left"
 WELL, SICK, ANSWER, FAILURE, CALL = "well", "sick", "answer", "failure", "call"
 
 
@@ -69,10 +64,12 @@
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
-        self.typical, self.share = typical, 0.5  # units of a txn; part of the thin ones that is inside
-        self.most = plan.burst if plan.rate > 0 else plan.at_once  # a thin account's count at most,
-        self.fade = plan.burst / plan.rate * SEC if plan.rate > 0 else inf  # the time in which it fades,
-        self.life = int(self.fade * FADES) if plan.rate > 0 else EPOCH  # and how long one name serves for it
+        self.share = 0.5  # part of the plan's thin txns that was lately told to be inside
+        # A thin account, of more nodes than its limit has typical txns: its count at most, the time in which
+        # that fades, and how long one name serves for it.
+        self.most, self.thin_past = plan.burst or plan.at_once, (self.limit or plan.at_once or inf) / typical
+        self.fade = plan.burst / plan.rate * SEC if plan.rate > 0 else inf
+        self.life = int(self.fade * FADES) if plan.rate > 0 else EPOCH
         refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
         self.idle = max(2 * self.window, 2 * EPOCH, refill)
 
@@ -99,7 +96,7 @@
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
-        self.up, self.sight = [], self.random()  # app servers listed as up; part of a probe earned so far
+        self.up = []  # app servers listed as up
         self.each = 0.0  # fading count of txns that a warm app server settled for us
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
@@ -134,9 +131,8 @@
             return self.remind(self.uniform(0.5, 1.0) * SEC, self.ask)
         named = {row.server: row.state for row in told.rows}
         for server in list(self.servers.values()):  # a whole list removes what it leaves out
-            if named.get(server.id, t.REMOVED if told.whole else t.UP) == t.REMOVED:
-                server.state = t.REMOVED
-                self.let_go(server)
+            server.state = named.get(server.id, t.REMOVED if told.whole else server.state)
+            self.let_go(server)
         for row in told.rows:
             if row.state == t.REMOVED:
                 continue
@@ -151,7 +147,7 @@
         self.up = [s for s in self.servers.values() if s.state == t.UP]
 
     def let_go(self, server):
-        if server.state == t.REMOVED and not server.out and not server.probing:
+        if server.state == t.REMOVED and not server.out:
             self.servers.pop(server.id, None)
 
     def on_arrival(self, told):
@@ -159,12 +155,11 @@
         txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
                                         self.now + told.expires_in, NEW)
         self.step(txn, ARRIVED)
-        self.sight += PROBE_SHARE + PROBE_THIN / (1.0 + self.each) if self.probes else 0.0
-        if self.sight >= 1.0 and self.up:
-            self.probe()
+        if self.probes and self.up and self.random() < PROBE_SHARE + PROBE_THIN / (1.0 + self.each):
+            self.effects.append(t.Probe(self.pick(self.up)[0].id))
 
-    def on_word(self, told):
-        self.step(self.txns[told.txn], BEGAN if type(told) is t.Began else LEFT)
+    def on_left(self, told):
+        self.step(self.txns[told.txn], LEFT)
 
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
@@ -210,13 +205,12 @@
             return False
         if txn.told or not account.thin:
             return True
-        # Guards against unknown txns that cost more than they earn: what share of its plan was lately told to be
-        # inside weighs against twice the costs of the rest, which take room too; else they go with what is spare.
+        # Guards against unknown txns that cost more than they earn and take the room of known ones.
         share, costs = account.quota.share, account.quota.costs
         return not (share > 2.0 * (1.0 - share) * costs or self.roomy(costs))
 
     def unread(self, txn):
-        """Whether a txn waits for its account's count: see `ask_first`. Where calls fail, by chance only."""
+        """Whether a txn waits for its account's count; while calls fail, by chance."""
         return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
                 and self.random() * self.stretch < 1.0 and self.mark(CALL))
 
@@ -225,8 +219,7 @@
         return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
-        """A further submission: from what is saved up, so that trouble everywhere starts no storm, and only
-        while its answer may still earn something."""
+        """A further submission: out of savings, so that trouble everywhere starts no storm, and while it pays."""
         worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
         return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
@@ -250,18 +243,16 @@
         return server
 
     def fits(self):
-        """Whether the limits leave room. Guards against many nodes that each have little room at an app server
-        and fill it together: one out is more than a small limit, so what is over counts against the rest, and
-        a share below one holds on average: what was left free is saved up, to REACH, and what is over spent."""
+        """Guards against many nodes that each have little room and fill the fleet together: limits hold in sum,
+        and a share below one on average, as what was left free is saved up, to REACH, and what is over spent."""
         self.look()
         return self.free >= 1.0 or self.saved > 0.0
 
     def look(self):
         """Brings sums over the fleet up to date, a few times a second at most."""
-        past = self.now - self.looked_at
         self.saved = max(-REACH, min(REACH, self.saved + self.free * (self.now - self.saved_at) / SEC))
         self.saved_at = self.now
-        if past > SEC // 10:
+        if self.now - self.looked_at > SEC // 10:
             self.looked_at = self.now
             self.free = sum(max(-1.0, self.limit * self.ready(s) - s.out) for s in self.up)
             warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
@@ -280,17 +271,16 @@
         group = line.group if bound else t.ALL
         some = self.up
         if not bound and len(some) > LOOKS:
-            fresh = [s for s in self.heard if self.now - s.told_at < HEARD_FRESH and s.id != txn.last]
-            some = fresh if fresh and self.each < 1.0 else self.sample(some, LOOKS)
+            fresh = [s for s in self.heard if s.id != txn.last] if self.each < 1.0 else []
+            some = fresh or self.sample(some, LOOKS)
         return [s for s in some if s.state == t.UP  # rule 3, without the grace
                 and (group != t.ZONE or s.zone == txn.risk_zone)
                 and (group != t.CELL or s.cell == txn.risk_cell)
                 and self.bears(s)]
 
     def bears(self, server):
-        """Rule 4: in any span a cold app server gets what its least capacity allows, guessed from what a warm
-        one does for us: our part of what one does for all. A part below one is a chance, drawn once a span,
-        so that the parts of hundreds of nodes sum to the budget. All that was sent counts."""
+        """Rule 4: a cold app server gets what its least capacity allows, guessed from what a warm one does for us.
+        A part below one is a chance, drawn once a span, so that the parts of hundreds of nodes sum to it."""
         ready = self.ready(server)
         if ready < 1.0 and self.now >= server.turn_at:
             server.turn_at = self.now + self.span
@@ -334,7 +324,7 @@
         account = self.accounts.get(key)
         if account is None:
             quota, now, rate = self.quotas[plan], self.now, None
-            thin = self.counts and 0 < (quota.limit or quota.cap) < nodes * quota.typical
+            thin = self.counts and nodes > quota.thin_past
             if quota.rate > 0 and not thin:
                 number = now // quota.window
                 rate = Ledger(key, quota.window, quota.limit, nodes, now, Window(number), Window(number - 1),
@@ -374,9 +364,8 @@
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
             if not self.fresh(ledger):
-                # Guards against a counter that is silent, slow, crowded or paced: held figures stand still,
-                # so the others are taken to go on as last read, leaving us our fair share at least.
-                # Harm: a customer that moved to us entirely is held to that share until it is read again.
+                # Guards against a counter that is silent, slow or crowded: the others go on as last read, and leave
+                # us our fair share at least. Harm: a customer that moved here waits for the next reading.
                 fair = ledger.limit - account.quota.burst / ledger.nodes
                 others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
             # Guards against a window longer than the burst, which would let its whole limit in at once.
@@ -387,15 +376,11 @@
         return account.quota.cap <= 0 or self.below_cap(account)
 
     def below_cap(self, account):
-        """A cap on submissions out at once, by the epoch's last total; a decline asks for another."""
-        age, cap = self.now - account.level_at, account.quota.cap
-        others = account.level if age < EPOCH else 0.0
-        if self.counter != WELL:  # nobody can be read: a fair share, and one where there is none of ours out
-            others = cap * (1 - 1 / account.nodes) - 0.5 if account.out else 0.0
-        free = account.out + others < cap
-        if not free and age > LEVEL_FRESH and self.mark(CALL):
-            self.call(self.book(account)[0], 0.0, EPOCH, self.on_level, account)
-        return free
+        """A cap on submissions out at once, by the epoch's last total; with none of ours out, one may try."""
+        others = account.level if self.now - account.level_at < LEVEL_FRESH else 0.0
+        if self.counter != WELL:  # nobody can be read: a fair share
+            others = account.quota.cap * (1 - 1 / account.nodes) - 0.5 if account.out else 0.0
+        return account.out + others < account.quota.cap
 
     def on_level(self, told, account, txn=None):
         if told.how == t.DONE:
@@ -420,10 +405,9 @@
             self.call(txn.name, 1, EPOCH, self.on_level, account, txn)
 
     def ask_first(self, txn, found):
-        """The one txn that is held: at an account's node that sees it about once a window, whose share of the
-        quota is under one txn, no reading is in time for the next txn. So each asks with an add of its units
-        before it is sent on, for as long as the counter takes or its time-out. One name serves a long epoch:
-        adds grow as fast as counts fade, so that one total is a window's count, weighted by age."""
+        """The one txn that is held, until the counter's answer or time-out. A node with a share under one txn
+        sees the account about once a window: no reading off the path is in time. So each asks with an add.
+        One name serves long: adds grow as fast as counts fade, so a total is a window's count by age."""
         quota = txn.account.quota
         txn.name, age = self.book(txn.account)
         txn.scale = self.stretch * exp(age / quota.fade)  # the few that ask stand for all
@@ -442,7 +426,8 @@
 
     def book(self, account):
         """The name of an account's one count and its age; names turn at moments spread over the accounts."""
-        number, age = divmod(self.now + self.name(account.key, "turn") % account.quota.life, account.quota.life)
+        life = account.quota.life
+        number, age = divmod(self.now + self.name(account.key, "turn") % life, life)
         return self.name(account.key, number), age
 
     def name(self, key, number):
@@ -473,7 +458,8 @@
         asks = window is ledger.now and not self.fresh(ledger)  # the others' part is not known
         if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
             amount = window.flying = max(0.0, round(grown, 4))
-            self.call(self.name(ledger.key, window.number), amount, 3 * ledger.length, self.on_total, ledger, window)
+            name = self.name(ledger.key, window.number)
+            self.call(name, amount, 3 * ledger.length, self.on_total, ledger, window)
 
     def call(self, name, amount, life, what, *about):
         self.calls.setdefault(name, []).append((what, about))  # answers for a name come in the order of calls
@@ -495,8 +481,7 @@
             return
         slack = 1e-3 + 1e-6 * told.total
         if told.total < window.seen + amount - slack:
-            # Guards against a counter that lost counts (all names or some, whatever the cause): the total is
-            # below what earlier ones imply. Our own adds are put back, the others put back theirs.
+            # Guards against a counter that lost counts: our own are put back, the others put back theirs.
             window.sent, window.doubt = amount, 0.0
         else:
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
@@ -543,8 +528,8 @@
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
     def room(self, server):
-        """What its limit leaves, by its readiness, pace and zone. Where own answers are few, by what a probe told;
-        and those known by own answers come first, so that a node of a large fleet learns of a few."""
+        """What its limit leaves, by readiness, pace and zone. Few own answers: by what a probe told, and after those
+        known from own answers, so that a node of a large fleet learns of a few."""
         known, free = self.known(server), self.limit - server.out
         near = 1.0 if server.zone == self.zone else self.near
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
@@ -570,7 +555,7 @@
         if told.how in (t.CANCELLED, t.UNSENT):
             return
         self.fade(server)
-        server.heard_at, rest = self.now, 1.0 - self.known(server)
+        rest = 1.0 - self.known(server)
         server.won, server.lost = server.won + done, server.lost + (not done)
         if done:
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
@@ -582,51 +567,29 @@
         elif done and self.saved < REACH:
             self.limit += rest * GROWTH * self.start * self.start / self.limit
 
-    def probe(self):
-        """One of a few app servers: the longest unheard of, the doubtful sooner. Earned by own txns, so that
-        all nodes together make no more probes than their txns are worth, however many they are."""
-        some = self.sample(self.up, min(LOOKS, len(self.up)))
-        server = max(some, key=lambda s: (not s.probing, (self.now - s.heard_at) * (1.0 + s.lost)))
-        if not server.probing:
-            self.sight -= 1.0
-            server.probing, server.heard_at = True, self.now
-            self.effects.append(t.Probe(server.id))
-
     def on_probed(self, told):
-        server = self.servers[told.server]
-        server.probing = False
-        self.fade(server)  # guards against hangs; a good probe proves nothing, as fast failers answer too
-        server.lost += told.how != t.DONE
-        if told.how == t.DONE:
-            figure = next((name for name in LOADS if name in told.report), "wait")
-            server.load = 1.0 + told.report.get(figure, told.took / MS) / LOADS[figure]
-            server.told_at = self.now
+        """Earned by own txns, so that all nodes make no more probes than their txns are worth. Guards against hangs;
+        a good probe proves nothing, as fast failers answer too, but tells of the load that others bring."""
+        server = self.servers.get(told.server)
+        if server and told.how == t.DONE:
+            server.load = 1.0 + told.report.get("inflight", told.took / (50 * MS))
             self.heard.append(server)
-        self.let_go(server)
-
-
-# state, input: (guard, next state, effect) in the order tried
+        elif server:
+            server.lost += 1.0
+
+# guard, next state, effect, in the order tried
+ADMIT = ((Node.beyond, OVER, Node.decline), (Node.choose, OUT, Node.submit), (Node.always, OVER, Node.decline))
+AGAIN = ((Node.again, OUT, Node.submit), (Node.may_decline, OVER, Node.decline), (Node.always, OVER, Node.void))
+CLOSE = ((Node.always, OVER, Node.close),)
+# state, input: what may be done
 TXN = {
-    (NEW, ARRIVED): ((Node.unread, ASKED, Node.ask_first),
-                     (Node.beyond, OVER, Node.decline),
-                     (Node.choose, OUT, Node.submit),
-                     (Node.always, OVER, Node.decline)),
-    (ASKED, READ): ((Node.beyond, OVER, Node.decline),
-                    (Node.choose, OUT, Node.submit),
-                    (Node.always, OVER, Node.decline)),
-    (ASKED, LEFT): ((Node.always, OVER, Node.close),),
-    (OUT, SETTLED): ((Node.always, OVER, Node.close),),
-    (OUT, UNRUN): ((Node.again, OUT, Node.submit),
-                   (Node.may_decline, OVER, Node.decline),
-                   (Node.always, OVER, Node.void)),
-    (OUT, RISKY): ((Node.again, OUT, Node.submit),
-                   (Node.may_decline, OVER, Node.decline),
-                   (Node.always, OVER, Node.void)),
-    (OUT, BEGAN): ((Node.always, STREAM, Node.close),),
-    (OUT, LEFT): ((Node.always, OVER, Node.close),),
-    (STREAM, SETTLED): ((Node.always, OVER, Node.close),),
-    (STREAM, RISKY): ((Node.always, OVER, Node.void),),
-    (STREAM, LEFT): ((Node.always, OVER, Node.close),),
+    (NEW, ARRIVED): ((Node.unread, ASKED, Node.ask_first), *ADMIT),
+    (ASKED, READ): ADMIT,
+    (ASKED, LEFT): CLOSE,
+    (OUT, SETTLED): CLOSE,
+    (OUT, UNRUN): AGAIN,
+    (OUT, RISKY): AGAIN,
+    (OUT, LEFT): CLOSE,
 }
 # state, input: (next state, effect); an effect that gives None leaves the state and means no
 COUNTER = {
@@ -638,5 +601,5 @@
     (SICK, FAILURE): (SICK, Node.strain),
 }
 SEEN = {t.DONE: SETTLED, t.UNSEEN: UNRUN, t.UNSENT: UNRUN}  # all else may have run
-INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Began: Node.on_word, t.Left: Node.on_word,
+INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Left: Node.on_left,
           t.Ended: Node.on_ended, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -61,12 +61,9 @@
     won: float = 0.0  # fading counts of what it did with our work
     lost: float = 0.0
     judged_at: int = 0
-    heard_at: int = 0  # its last answer or probe
     turn_at: int = 0  # while cold: end of its present span,
     slots: int = 0  # and how many submissions it may get until then
-    probing: bool = False
     load: float = 1.0  # how busy a probe found it, over the usual
-    told_at: int = 0
 
 
 @slotted
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -95,12 +95,6 @@
     set_size: int
 
 
-@slotted
-class Began:
-    """The answer has started to stream to the client."""
-    txn: int
-
-
 @slotted
 class Ended:
     txn: int
