--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -64,7 +64,6 @@
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
-        self.share = 0.5  # part of the plan's thin txns that was lately told to be inside
         # A thin account, of more nodes than its limit has typical txns: its count at most, the time in which
         # that fades, and how long one name serves for it.
         self.most, self.thin_past = plan.burst or plan.at_once, (self.limit or plan.at_once or inf) / typical
@@ -198,7 +197,6 @@
         account = txn.account
         if account.thin:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
-            account.quota.share += 0.03 * (txn.inside - account.quota.share) if txn.told else 0.0
         else:
             txn.inside = self.within(account, txn.units)
         if txn.inside or account.quota.pays and self.roomy(1.0):
@@ -206,8 +204,7 @@
         if txn.told or not account.thin:
             return True
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
-        share, costs = account.quota.share, account.quota.costs
-        return not (share > 2.0 * (1.0 - share) * costs or self.roomy(costs))
+        return account.quota.costs >= 1.0 and not self.roomy(account.quota.costs)
 
     def unread(self, txn):
         """Whether a txn waits for its account's count; while calls fail, by chance."""
@@ -237,10 +234,7 @@
         sound = [(s, room) for s, room in pool
                  if s.lost < 1 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
         pool = sound or pool
-        server = self.pick([s for s, _ in pool], [room for _, room in pool])[0]
-        if server in self.heard:
-            self.heard.remove(server)  # what a probe told is used once, so that none is crowded for it
-        return server
+        return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
 
     def fits(self):
         """Guards against many nodes that each have little room and fill the fleet together: limits hold in sum,
