--- a/rampfront/benchlink/codec.py
+++ b/rampfront/benchlink/codec.py
@@ -48,12 +48,11 @@
                     row.get("ExcessCost", 0.0)) for row in setup["Packages"]]
     return t.Terms(
         products=products, plans=plans, nodes=setup["PeersTotal"],
-        zone=names.zones.get(setup.get("Zone"), -1), max_submissions=limits["AttemptsCap"],
+        max_submissions=limits["AttemptsCap"],
         may_probe=limits.get("Probing", False), may_cancel=limits.get("MayCancel", False),
         has_counter=domain.get("HasCounter", False), counter_wait=ns(domain.get("CountWait", 0)),
         largest=domain.get("Largest", 1.0),
         subscribes=setup.get("Discovery") == "subscribe",
         longest_advice=ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0,
         tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
-        fall_multiple=rules["FallMultiple"], tip_after=ns(rules["TipAfter"]),
-        cross_zone_price=setup.get("Prices", {}).get("CrossZone", 0.0))
+        fall_multiple=rules["FallMultiple"], tip_after=ns(rules["TipAfter"]))
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -1,11 +1,9 @@
 """All decisions of one edge node.
 
 Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return
-the effects, to be carried out in order. Inputs, effects and terms are the types of `terms.py`, times whole
-nanoseconds. Read `TXN` and `COUNTER` first: they are the decisions, `step` and `mark` merely read them. Every
-submission passes `lawful` (rules 2 to 5) and `submit` (rule 1: it ends, and is told to, before the expiry).
-Quotas: `within` is the sliding-window test of RFC 0015 on own plus others' counts, `flush` its delta adds;
-where a node's share of a quota is under one txn, `ask_first` tells each txn's count before it is sent on.
+the effects, to be carried out in order. The interface is `terms.py`; times are whole nanoseconds. Read `TXN`
+and `COUNTER` first: they are the decisions. All submissions pass `lawful` (rules 2 to 5) and `submit` (rule 1).
+Quotas: `within` is the sliding-window test of RFC 0015, `flush` its delta adds, `ask_first` the exception.
 """
 
 from collections import deque
@@ -18,7 +16,7 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 
-WINDOW = 2.0  # length of an account's window, in times that its burst lasts at its rate
+WINDOW = 1.5  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
 EARLY = 0.125  # part of its share of the limit past which an edge node's grown count is added before the tick
@@ -27,15 +25,13 @@
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 FADES = 10  # life of a thin account's count, in times that it takes to fade
-EPOCH = 4 * SEC  # life of a count of submissions out at once: a dead node's part is forgotten with it
-LEVEL_FRESH = SEC  # a reading of that count holds so long
+EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
 GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
-PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing of an app server
-HEARD = 4  # app servers kept as heard of, for a fleet past LOOKS
-LOOKS = 16  # app servers looked at for a txn or a probe
+PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing
+LOOKS, HEARD = 16, 4  # app servers looked at for a txn; past so many, those that probes told of come first
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT = 4.0  # answers of an app server that weigh as much as what is known of the fleet
 MEMORY = 8 * SEC  # judgements of an app server halve about this often
@@ -64,13 +60,11 @@
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
         self.limit = plan.rate * self.window / SEC
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
-        # A thin account, of more nodes than its limit has typical txns: its count at most, the time in which
-        # that fades, and how long one name serves for it.
+        # a thin account has more nodes than its limit has txns; its count at most, its fading, a name's life
         self.most, self.thin_past = plan.burst or plan.at_once, (self.limit or plan.at_once or inf) / typical
         self.fade = plan.burst / plan.rate * SEC if plan.rate > 0 else inf
         self.life = int(self.fade * FADES) if plan.rate > 0 else EPOCH
-        refill = int(self.depth / self.fill * SEC) if self.fill > 0 else 0
-        self.idle = max(2 * self.window, 2 * EPOCH, refill)
+        self.idle = int(max(2 * self.window, 2 * EPOCH, self.depth / (self.fill or inf) * SEC))
 
 
 class Node:
@@ -80,11 +74,10 @@
         self.random, self.sample = chance.random, chance.sample
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
-        self.zone, self.most, self.subscribes = terms.zone, terms.max_submissions, terms.subscribes
+        self.most, self.subscribes = terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
-        self.near, self.start = 1.0 / (1.0 + 100.0 * terms.cross_zone_price), OPEN_START / terms.nodes
-        self.limit = self.start  # limit of an app server that nothing is known of
+        self.limit = self.start = OPEN_START / terms.nodes  # submissions out at each app server
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
         self.began, self.now, self.effects = now, now, []
@@ -95,27 +88,22 @@
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
-        self.up = []  # app servers listed as up
-        self.each = 0.0  # fading count of txns that a warm app server settled for us
+        self.up, self.each = [], 0.0  # those listed as up; fading count of what a warm one settled for us
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
         self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
 
-    # ---- inputs
-
     def begin(self, now):
-        self.now, self.effects = now, []
-        self.ask()
-        return self.effects
-
-    def ask(self):
-        self.effects += [t.Subscribe()] if self.subscribes else []
+        return self.take(now, None)
 
     def take(self, now, told):
         self.now, self.effects = now, []
         INPUTS[type(told)](self, told)
         return self.effects
 
+    def ask(self, told=None):
+        self.effects += [t.Subscribe()] if self.subscribes else []
+
     def remind(self, delay, what, *about):
         self.ref += 1
         self.due[self.ref] = (what, about)
@@ -132,12 +120,8 @@
         for server in list(self.servers.values()):  # a whole list removes what it leaves out
             server.state = named.get(server.id, t.REMOVED if told.whole else server.state)
             self.let_go(server)
-        for row in told.rows:
-            if row.state == t.REMOVED:
-                continue
-            server = self.servers.get(row.server)
-            if server is None:
-                server = self.servers[row.server] = Server(row.server)
+        for row in [row for row in told.rows if row.state != t.REMOVED]:
+            server = self.servers.setdefault(row.server, Server(row.server))
             if row.came_up != server.born:  # another process: what was known of the old one is void
                 server.won = server.lost = 0.0
                 server.pace, server.turn_at = 1.0, 0
@@ -164,47 +148,40 @@
         txn, server = self.txns[told.txn], self.servers[told.server]
         txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
         txn.account.out -= 1
-        self.judge(server, txn, told)
+        if told.how not in (t.CANCELLED, t.UNSENT):
+            self.judge(server, txn, told)
         self.let_go(server)
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
             ledger = txn.account.rate
             self.roll(ledger)
-            more = told.true_units - txn.units  # a credit nets against later growth, see `flush`
-            ledger.now.own, ledger.spare = ledger.now.own + more, ledger.spare - more
+            ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
         seen = SEEN.get(told.how, RISKY)
         if seen == RISKY and txn.risk_at is None:
             txn.risk_at = self.now - told.took
         self.step(txn, LEFT if told.final and seen != SETTLED else seen)
 
     def step(self, txn, seen):
-        """Reads the table: the first row whose guard holds decides."""
         for guard, then, effect in TXN.get((txn.state, seen), ()):
-            found = guard(self, txn)
-            if found:
+            if found := guard(self, txn):
                 txn.state = then
                 effect(self, txn, found)
                 break
         if txn.state == OVER and txn.out == 0 and self.txns.pop(txn.id, None) and txn.told:
             self.give_back(txn)
 
-    # ---- guards
-
     def always(self, txn=None):
         return True
 
     def beyond(self, txn):
         """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
         account = txn.account
-        if account.thin:
-            txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
-        else:
-            txn.inside = self.within(account, txn.units)
+        known = account.thin and txn.told and txn.count <= account.quota.most + 1e-6
+        txn.inside = known if account.thin else self.within(account, txn.units)
         if txn.inside or account.quota.pays and self.roomy(1.0):
             return False
-        if txn.told or not account.thin:
-            return True
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
-        return account.quota.costs >= 1.0 and not self.roomy(account.quota.costs)
+        unknown, costs = account.thin and not txn.told, account.quota.costs
+        return not (unknown and (costs < 1.0 or self.roomy(costs)))
 
     def unread(self, txn):
         """Whether a txn waits for its account's count; while calls fail, by chance."""
@@ -216,15 +193,13 @@
         return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
-        """A further submission: out of savings, so that trouble everywhere starts no storm, and while it pays."""
+        """A further submission: out of savings, so that trouble everywhere starts no storm, while it pays."""
         worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
         return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
-        if not self.fits():
-            return None
-        pool = [(s, room) for s in self.lawful(txn) if (room := self.room(s)) > 0]
+        pool = [(s, room) for s in self.lawful(txn) if (room := self.room(s)) > 0] if self.fits() else []
         pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
         if not pool:
             return None
@@ -237,13 +212,12 @@
         return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
 
     def fits(self):
-        """Guards against many nodes that each have little room and fill the fleet together: limits hold in sum,
-        and a share below one on average, as what was left free is saved up, to REACH, and what is over spent."""
+        """Guards against many nodes that each have little room and fill the fleet together: limits hold in
+        sum and on average. What was left free is saved up, to REACH, and what is over is spent."""
         self.look()
         return self.free >= 1.0 or self.saved > 0.0
 
     def look(self):
-        """Brings sums over the fleet up to date, a few times a second at most."""
         self.saved = max(-REACH, min(REACH, self.saved + self.free * (self.now - self.saved_at) / SEC))
         self.saved_at = self.now
         if self.now - self.looked_at > SEC // 10:
@@ -273,7 +247,7 @@
                 and self.bears(s)]
 
     def bears(self, server):
-        """Rule 4: a cold app server gets what its least capacity allows, guessed from what a warm one does for us.
+        """Rule 4: what the least capacity of a cold app server allows, guessed from what a warm one does.
         A part below one is a chance, drawn once a span, so that the parts of hundreds of nodes sum to it."""
         ready = self.ready(server)
         if ready < 1.0 and self.now >= server.turn_at:
@@ -281,14 +255,10 @@
             server.slots = int(self.cold_rate * ready * self.each + self.random())
         return ready >= 1.0 or server.slots > 0
 
-    # ---- effects
-
     def submit(self, txn, server):
         now, line = self.now, txn.line
-        if txn.sent:
-            self.spare -= 1.0
-        else:
-            self.spare = min(SPARE_MOST, self.spare + SPARE_RATE)
+        self.spare = self.spare - 1.0 if txn.sent else min(SPARE_MOST, self.spare + SPARE_RATE)
+        if not txn.sent:
             self.count(txn)
         txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
         server.out, self.free = server.out + 1, self.free - 1.0
@@ -321,8 +291,7 @@
             thin = self.counts and nodes > quota.thin_past
             if quota.rate > 0 and not thin:
                 number = now // quota.window
-                rate = Ledger(key, quota.window, quota.limit, nodes, now, Window(number), Window(number - 1),
-                              inf, now)
+                rate = Ledger(key, quota.window, quota.limit, nodes, now, Window(number), Window(number - 1))
             # Guards against a restart that fills the ceiling again: our share counts as spent at our start.
             account = self.accounts[key] = Account(key, quota, nodes, now, rate, self.began, thin)
             self.remind(quota.idle, self.retire, account)
@@ -358,14 +327,11 @@
             own = ledger.now.own + ledger.past.own * left
             others = ledger.now.held + ledger.past.held * left
             if not self.fresh(ledger):
-                # Guards against a counter that is silent, slow or crowded: the others go on as last read, and leave
-                # us our fair share at least. Harm: a customer that moved here waits for the next reading.
+                # Guards against a counter that is silent, slow or crowded: the others go on as last read, and
+                # leave us our fair share. Harm: a customer that moved here waits for the next reading.
                 fair = ledger.limit - account.quota.burst / ledger.nodes
                 others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
-            # Guards against a window longer than the burst, which would let its whole limit in at once.
-            gain = account.quota.rate * (self.now - ledger.spare_at) / SEC
-            ledger.spare, ledger.spare_at = min(account.quota.burst, ledger.spare + gain), self.now
-            if own + others + units > ledger.limit + 1e-9 or units > ledger.spare + 1e-9:
+            if own + others + units > ledger.limit + 1e-9:
                 return False
         return account.quota.cap <= 0 or self.below_cap(account)
 
@@ -387,11 +353,10 @@
 
     def count(self, txn):
         account = txn.account
-        if account.quota.fill > 0:
-            account.store -= txn.units
+        account.store -= txn.units
         ledger = account.rate
         if ledger and txn.inside:
-            ledger.now.own, ledger.spare = ledger.now.own + txn.units, ledger.spare - txn.units
+            ledger.now.own += txn.units
             if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
         if account.quota.cap > 0 and not account.thin and self.mark(CALL):
@@ -399,9 +364,8 @@
             self.call(txn.name, 1, EPOCH, self.on_level, account, txn)
 
     def ask_first(self, txn, found):
-        """The one txn that is held, until the counter's answer or time-out. A node with a share under one txn
-        sees the account about once a window: no reading off the path is in time. So each asks with an add.
-        One name serves long: adds grow as fast as counts fade, so a total is a window's count by age."""
+        """The one txn that is held, until the counter answers or times out: a node that sees an account once
+        a window has no reading in time. Adds grow as fast as counts fade, so one total tells all."""
         quota = txn.account.quota
         txn.name, age = self.book(txn.account)
         txn.scale = self.stretch * exp(age / quota.fade)  # the few that ask stand for all
@@ -429,7 +393,6 @@
         return int.from_bytes(digest, "big") >> 1  # the same at every node
 
     def hasten(self, ledger):
-        """Sets an account's tick going; it stops by itself when nothing is used any more."""
         ledger.used_at = self.now
         if not ledger.armed:
             self.arm(ledger, TICK if self.fresh(ledger) else FIRST_ADD)
@@ -481,13 +444,12 @@
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
-        ledger.spare -= max(0.0, told.total - window.sent - window.held)
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
 
     def mark(self, seen):
-        """Reads the counter's table; returns whether a call may be made."""
+        """Reads the counter's table; tells whether a call may be made."""
         then, effect = COUNTER[self.counter, seen]
         verdict = effect(self) if self.counts else None
         self.counter = then if verdict else self.counter
@@ -499,35 +461,29 @@
 
     def strain(self):
         self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.25)
-        self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP)
         return True if self.failures >= SICK_AFTER else None
 
     def trial(self):
         """Guards against a surge of calls on a counter just back: few, until one is answered."""
-        if self.now < self.trial_at:
-            return None
-        self.trial_at = self.now + TRIAL_GAP
-        return True
+        due = self.now >= self.trial_at
+        self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP) if due else self.trial_at
+        return due or None
 
     # ---- app servers
 
     def ready(self, server):
         """The least share of its capacity that an app server can have, by its age."""
-        age = self.now - server.born
-        if not server.born or age >= self.warm_within:
-            return 1.0
-        return self.cold + (1.0 - self.cold) * age / self.warm_within
+        age = min(1.0, (self.now - server.born) / self.warm_within) if server.born else 1.0
+        return 1.0 - (1.0 - self.cold) * (1.0 - age)
 
     def known(self, server):
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
     def room(self, server):
-        """What its limit leaves, by readiness, pace and zone. Few own answers: by what a probe told, and after those
-        known from own answers, so that a node of a large fleet learns of a few."""
+        """What its limit leaves, by readiness and pace; in a large fleet, the few it knows come first."""
         known, free = self.known(server), self.limit - server.out
-        near = 1.0 if server.zone == self.zone else self.near
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
-        return free * self.ready(server) / server.pace * near * trust
+        return free * self.ready(server) / server.pace * trust
 
     def roomy(self, spare):
         self.look()
@@ -546,8 +502,6 @@
 
     def judge(self, server, txn, told):
         line, done = txn.line, told.how == t.DONE
-        if told.how in (t.CANCELLED, t.UNSENT):
-            return
         self.fade(server)
         rest = 1.0 - self.known(server)
         server.won, server.lost = server.won + done, server.lost + (not done)
@@ -562,8 +516,7 @@
             self.limit += rest * GROWTH * self.start * self.start / self.limit
 
     def on_probed(self, told):
-        """Earned by own txns, so that all nodes make no more probes than their txns are worth. Guards against hangs;
-        a good probe proves nothing, as fast failers answer too, but tells of the load that others bring."""
+        """Guards against hangs, and tells of the load that others bring; a good probe proves no more."""
         server = self.servers.get(told.server)
         if server and told.how == t.DONE:
             server.load = 1.0 + told.report.get("inflight", told.took / (50 * MS))
@@ -571,11 +524,14 @@
         elif server:
             server.lost += 1.0
 
-# guard, next state, effect, in the order tried
-ADMIT = ((Node.beyond, OVER, Node.decline), (Node.choose, OUT, Node.submit), (Node.always, OVER, Node.decline))
-AGAIN = ((Node.again, OUT, Node.submit), (Node.may_decline, OVER, Node.decline), (Node.always, OVER, Node.void))
+ADMIT = ((Node.beyond, OVER, Node.decline),
+         (Node.choose, OUT, Node.submit),
+         (Node.always, OVER, Node.decline))
+AGAIN = ((Node.again, OUT, Node.submit),
+         (Node.may_decline, OVER, Node.decline),
+         (Node.always, OVER, Node.void))
 CLOSE = ((Node.always, OVER, Node.close),)
-# state, input: what may be done
+# state, input: guard, next state and effect of each row, in the order tried
 TXN = {
     (NEW, ARRIVED): ((Node.unread, ASKED, Node.ask_first), *ADMIT),
     (ASKED, READ): ADMIT,
@@ -595,5 +551,5 @@
     (SICK, FAILURE): (SICK, Node.strain),
 }
 SEEN = {t.DONE: SETTLED, t.UNSEEN: UNRUN, t.UNSENT: UNRUN}  # all else may have run
-INPUTS = {t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Left: Node.on_left,
+INPUTS = {type(None): Node.ask, t.ServerList: Node.on_list, t.Arrival: Node.on_arrival, t.Left: Node.on_left,
           t.Ended: Node.on_ended, t.Due: Node.on_due, t.Probed: Node.on_probed, t.Counted: Node.on_counted}
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -27,8 +27,8 @@
     used_at: int
     now: Window
     past: Window
-    spare: float  # what may still be let in at once, by our own and the others' known part
-    spare_at: int
+    spare: float = inf  # what may still be let in at once, by our own and the others' known part
+    spare_at: int = 0
     read_at: int = -10 ** 18  # long ago
     others: float = inf  # the others' part as it was then; not read yet: all that it may be
     armed: bool = False  # its tick is set
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -46,7 +46,6 @@
     products: list
     plans: list
     nodes: int
-    zone: int
     max_submissions: int
     may_probe: bool
     may_cancel: bool
@@ -60,7 +59,6 @@
     warm_within: int
     fall_multiple: float
     tip_after: int
-    cross_zone_price: float
 
 
 # ---- inputs
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -19,10 +19,11 @@
 class Play:
     def __init__(self, servers=1, nodes=2, plans=(RATE, CAP, CEILING),
                  products=(INQUIRY, CELL, ONCE), **other):
-        terms = dict(products=list(products), plans=list(plans), nodes=nodes, zone=0, max_submissions=3,
-                     may_probe=False, may_cancel=True, has_counter=True, counter_wait=50 * MS, largest=1.0, subscribes=False,
+        terms = dict(products=list(products), plans=list(plans), nodes=nodes, max_submissions=3,
+                     may_probe=False, may_cancel=True, has_counter=True, counter_wait=50 * MS,
+                     largest=1.0, subscribes=False,
                      longest_advice=1000 * MS, tick=2 * MS, cold_share=0.2, warm_within=10000 * MS,
-                     fall_multiple=2.0, tip_after=1000 * MS, cross_zone_price=0.0)
+                     fall_multiple=2.0, tip_after=1000 * MS)
         self.ms, self.lines, self.due, self.adds = 10000, [], [], []
         self.node = Node(t.Terms(**{**terms, **other}), 7, self.ms * MS)
         self.note(self.node.begin(self.ms * MS))
