--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -2,7 +2,7 @@
 
 Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return
 the effects, to be carried out in order. The interface is `terms.py`; times are whole nanoseconds. Read `TXN`
-and `COUNTER` first: they are the decisions. All submissions pass `lawful` (rules 2 to 5) and `submit` (rule 1).
+and `COUNTER` first: they are the decisions. Submissions pass `lawful` (rules 2 to 5) and `submit` (rule 1).
 Quotas: `within` is the sliding-window test of RFC 0015, `flush` its delta adds, `ask_first` the exception.
 """
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,7 +8,7 @@
 from rampfront.choice import Node
 
 MS = 10 ** 6
-RATE = t.Plan(2.0, 10.0, 0, 0.0, 0.0, 0.0, 0.5)  # 10 units in windows of 5 s
+RATE = t.Plan(2.0, 10.0, 0, 0.0, 0.0, 0.0, 0.5)  # bursts of 10 units
 CAP = t.Plan(0.0, 0.0, 2, 0.0, 0.0, 0.0, 0.5)
 CEILING = t.Plan(10.0, 20.0, 0, 20.0, 40.0, 0.0, 0.5)
 INQUIRY = t.Product(t.INQUIRY, t.ALL, 1000 * MS, 0, 0.0)
@@ -18,14 +18,14 @@
 
 class Play:
     def __init__(self, servers=1, nodes=2, plans=(RATE, CAP, CEILING),
-                 products=(INQUIRY, CELL, ONCE), **other):
+                 products=(INQUIRY, CELL, ONCE), seed=7, **other):
         terms = dict(products=list(products), plans=list(plans), nodes=nodes, max_submissions=3,
                      may_probe=False, may_cancel=True, has_counter=True, counter_wait=50 * MS,
                      largest=1.0, subscribes=False,
                      longest_advice=1000 * MS, tick=2 * MS, cold_share=0.2, warm_within=10000 * MS,
                      fall_multiple=2.0, tip_after=1000 * MS)
         self.ms, self.lines, self.due, self.adds = 10000, [], [], []
-        self.node = Node(t.Terms(**{**terms, **other}), 7, self.ms * MS)
+        self.node = Node(t.Terms(**{**terms, **other}), seed, self.ms * MS)
         self.note(self.node.begin(self.ms * MS))
         if servers:
             self.list(*range(servers))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -13,10 +13,10 @@
     p.say("the others have 6")
     p.serve(range(2, 4))
     p.count(10)
-    p.serve(range(4, 6))
-    p.wait(7400)
-    p.say("half a window on, the weight of the past one falls")
-    p.serve(range(6, 8))
+    p.serve(range(4, 12))
+    p.wait(9400)
+    p.say("the next window: the past one weighs two fifths")
+    p.serve(range(12, 24))
     p.check("window")
 
 
@@ -174,13 +174,95 @@
 
 
 def test_full_fleet():
-    """Limits below one hold in sum, and what has no room is declined at once with advice."""
+    """Limits below one hold in sum and on average: savings first, then declines at once, then room comes back."""
     p = Play(servers=4, nodes=16)
-    for k in range(5):
+    for k in range(16):
         p.arrive(k, account=f"f{k}", nodes=2)
+        p.wait(100)
+    p.say("all that was out is settled")
+    for k in list(p.node.txns):
+        p.end(k, server=p.node.txns[k].last, took=1600)
+    for k in range(20, 26):
+        p.wait(600)
+        p.arrive(k, account=f"f{k}", nodes=2)
+    p.lines = [line for line in p.lines if "adds" not in line]
     p.check("full_fleet")
 
 
+def test_thin_share():
+    """A share under one txn: each txn is told its account's count first; one declined takes its add back. With no
+    answer it goes by free room, as its excess costs much."""
+    p = Play(nodes=300, servers=200, plans=(t.Plan(2.0, 10.0, 0, 0.0, 0.0, 0.0, 1.2),))
+    for k, total in enumerate((1, 10, 11)):
+        p.arrive(k, nodes=200)
+        p.say(f"the counter tells {total}")
+        p.count(total)
+    for k in (3, 4):
+        p.arrive(k, nodes=200)
+        p.count(how=t.TIMED_OUT)
+    p.say("the client of a txn that waits leaves; then the answer comes")
+    p.arrive(5, nodes=200)
+    p.tell(t.Left(5))
+    p.count(3)
+    p.say(f"open txns: {len(p.node.txns)}; too short an expiry to wait")
+    p.arrive(6, nodes=200, expiry=90)
+    p.check("thin_share")
+
+
+def test_thin_cap():
+    """Under a cap the add stands while the submission is out and is taken off at its end."""
+    p = Play(nodes=300, servers=200)
+    p.arrive(0, plan=1, nodes=200)
+    p.count(1)
+    p.arrive(1, plan=1, nodes=200)
+    p.count(3)
+    p.count(2)
+    p.end(0, server=p.sent_to())
+    p.check("thin_cap")
+
+
+def test_cold_among_many():
+    """Rule 4 over a fleet: 200 nodes that each see an app server now and then keep to the budget together."""
+    sent = 0
+    for seed in range(200):
+        p = Play(servers=1, nodes=200, seed=seed)
+        for k in range(8):
+            p.arrive(k, account=f"g{k}")
+            if k in p.node.txns:
+                p.end(k, took=20)
+            p.wait(1000)
+        p.list(1, born=p.ms, whole=False)
+        p.list(0, state=t.DRAINING, whole=False)
+        for k in range(10, 14):  # in one span, cold at a fifth: 200 x 1 a second x 2.0 x 0.8 x 0.2 = 64
+            p.arrive(k, account=f"h{k}")
+            sent += k in p.node.txns
+            p.wait(240)
+    p.lines = [f"sent by 200 nodes in a span: {sent}"]
+    p.check("cold_many")
+
+
+def test_late_is_over():
+    """Past the SLA time a product whose late answer earns nothing is not sent again: no load for nothing."""
+    p = Play(servers=2)
+    p.arrive(0)
+    p.wait(1000)
+    p.end(0, t.TIMED_OUT, server=p.sent_to(), took=1000)
+    p.arrive(1)
+    p.wait(200)
+    p.end(1, t.ERROR, server=p.sent_to(), took=200)
+    p.check("late")
+
+
+def test_probes_by_own_txns():
+    """However many app servers and nodes there are, probes stay under one a txn."""
+    p = Play(servers=60, nodes=300, may_probe=True)
+    for k in range(200):
+        p.arrive(k, account=f"i{k}", nodes=2)
+        p.wait(500)
+    p.lines = [f"probes for 200 txns: {sum('probes' in line for line in p.lines)}"]
+    p.check("probes")
+
+
 def test_short_expiry_and_leaving():
     """Rule 1: a submission ends before the expiry, however short; a client that left is owed nothing."""
     p = Play()
