--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -19,7 +19,7 @@
 WINDOW = 1.5  # length of an account's window, in times that its burst lasts at its rate
 TICK = SEC  # mean gap between an account's adds while it is active
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
-EARLY = 0.125  # part of its share of the limit past which an edge node's grown count is added before the tick
+EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 8  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
@@ -357,7 +357,7 @@
         ledger = account.rate
         if ledger and txn.inside:
             ledger.now.own += txn.units
-            if ledger.now.own - ledger.now.sent > EARLY * self.stretch * ledger.limit / ledger.nodes:
+            if ledger.now.own - ledger.now.sent > EARLY * ledger.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
         if account.quota.cap > 0 and not account.thin and self.mark(CALL):
             txn.name = self.book(account)[0]
