--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from hashlib import blake2b
-from math import exp, inf, log
+from math import exp, inf, log, sqrt
 from random import Random
 
 from . import terms as t
@@ -21,7 +21,7 @@
 FIRST_ADD = 60 * MS  # an account unread or gone stale reads this soon after its txn: off the txn path
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
-STRETCH = 8  # longest tick, in ticks, while the counter is crowded
+STRETCH = 24  # longest tick, in ticks, while the counter is crowded
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 FADES = 10  # life of a thin account's count, in times that it takes to fade
@@ -186,7 +186,7 @@
     def unread(self, txn):
         """Whether a txn waits for its account's count; while calls fail, by chance."""
         return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
-                and self.random() * self.stretch < 1.0 and self.mark(CALL))
+                and self.random() * sqrt(self.stretch) < 1.0 and self.mark(CALL))
 
     def may_decline(self, txn):
         """Rule 2: a decline only where no submission can have run, or a repeat is dropped everywhere."""
@@ -368,13 +368,13 @@
         a window has no reading in time. Adds grow as fast as counts fade, so one total tells all."""
         quota = txn.account.quota
         txn.name, age = self.book(txn.account)
-        txn.scale = self.stretch * exp(age / quota.fade)  # the few that ask stand for all
+        txn.scale = sqrt(self.stretch) * exp(age / quota.fade)  # the few that ask stand for all
         self.call(txn.name, round(txn.units * txn.scale, 4), quota.life, self.on_answer, txn)
 
     def on_answer(self, told, txn):
         if txn.state == ASKED:
             txn.told = told.how == t.DONE
-            txn.count = max(0.0, told.total / txn.scale - txn.units) * self.stretch + txn.units
+            txn.count = max(0.0, told.total / txn.scale - txn.units) * sqrt(self.stretch) + txn.units
             self.step(txn, READ)
 
     def give_back(self, txn):
