--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -275,7 +275,7 @@
 
     def decline(self, txn, found):
         rate = txn.account.quota.rate
-        wait = txn.units / rate * SEC if rate > 0 else txn.line.mean
+        wait = txn.units / rate * SEC if rate > 0 and not txn.inside else txn.line.mean  # refill, or room
         self.effects.append(t.Decline(txn.id, int(min(self.advice, max(wait, 100 * MS)))))
 
     def void(self, txn, found):
