--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -281,8 +281,6 @@
     def void(self, txn, found):
         self.effects.append(t.Void(txn.id))
 
-    # ---- quotas
-
     def account(self, text, plan, nodes):
         key = f"{plan}|{text}"
         account = self.accounts.get(key)
@@ -379,8 +377,10 @@
 
     def give_back(self, txn):
         """What was declined goes out of the count again, and under a cap what has ended."""
-        if not (txn.sent and txn.account.quota.rate > 0) and self.mark(CALL):
-            self.call(txn.name, -round(txn.units * txn.scale, 4), SEC, self.on_level, txn.account)
+        exact = txn.account.quota.rate <= 0  # a cap
+        chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
+        if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
+            self.call(txn.name, -round(txn.units * txn.scale / chance, 4), SEC, self.on_level, txn.account)
 
     def book(self, account):
         """The name of an account's one count and its age; names turn at moments spread over the accounts."""
@@ -469,8 +469,6 @@
         self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP) if due else self.trial_at
         return due or None
 
-    # ---- app servers
-
     def ready(self, server):
         """The least share of its capacity that an app server can have, by its age."""
         age = min(1.0, (self.now - server.born) / self.warm_within) if server.born else 1.0
