--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -466,7 +466,7 @@
     def trial(self):
         """Guards against a surge of calls on a counter just back: few, until one is answered."""
         due = self.now >= self.trial_at
-        self.trial_at = self.now + int(self.uniform(0.8, 1.2) * TRIAL_GAP) if due else self.trial_at
+        self.trial_at = self.now + int(TRIAL_GAP * sqrt(self.stretch)) if due else self.trial_at
         return due or None
 
     def ready(self, server):
