--- a/rampfront/benchlink/codec.py
+++ b/rampfront/benchlink/codec.py
@@ -4,55 +4,8 @@
 
 ENDINGS = {"done": t.DONE, "err": t.ERROR, "busy": t.UNSEEN, "econnrefused": t.UNSEEN,
            "etimedout": t.TIMED_OUT, "econnreset": t.BROKEN, "ecanceled": t.CANCELLED, "skipped": t.UNSENT}
-EFFECTS = {"pure": t.INQUIRY, "token": t.REFERENCED, "side_effect": t.ONCE_ONLY}
-GROUPS = {"all": t.ALL, "zone": t.ZONE, "cell": t.CELL}
 STATES = {"healthy": t.UP, "cordoned": t.DRAINING, "deregistered": t.REMOVED}
 
 
-class Odd(Exception):
-    """Something on the wire names what was never announced, or leaves out what it must hold."""
-
-
-def ns(ms):
-    return round(ms * 1000) * 1000  # the wire counts in microseconds
-
-
 def ms(nanos):
     return nanos / 1e6
-
-
-def word(table, key, what):
-    try:
-        return table[key]
-    except (KeyError, TypeError):
-        raise Odd(f"unknown {what} {key!r}") from None
-
-
-class Names:
-    """The index of each name that the settings announce."""
-
-    def __init__(self, setup):
-        self.products = {row["Name"]: k for k, row in enumerate(setup["Classes"])}
-        self.plans = {row["Name"]: k for k, row in enumerate(setup["Packages"])}
-        self.zones = {name: k for k, name in enumerate(setup.get("Areas", ()))}
-
-
-def read_terms(setup, names):
-    limits, rules, domain = setup["Limits"], setup["Rules"], setup.get("Domain", {})
-    products = [t.Product(word(EFFECTS, row["Effect"], "effect"),
-                          word(GROUPS, row.get("Group", "all"), "group"), ns(row["OnTime"]),
-                          ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0))
-                for row in setup["Classes"]]
-    plans = [t.Plan(row.get("PerSecond", 0.0), row.get("StoreSize", 0.0), int(row.get("AtOnce", 0)),
-                    row.get("NeverOverRate", 0.0), row.get("CapDepth", 0.0), row.get("BeyondEarns", 0.0),
-                    row.get("ExcessCost", 0.0)) for row in setup["Packages"]]
-    return t.Terms(
-        products=products, plans=plans, nodes=setup["PeersTotal"],
-        max_submissions=limits["AttemptsCap"],
-        may_probe=limits.get("Probing", False), may_cancel=limits.get("MayCancel", False),
-        has_counter=domain.get("HasCounter", False), counter_wait=ns(domain.get("CountWait", 0)),
-        largest=domain.get("Largest", 1.0),
-        subscribes=setup.get("Discovery") == "subscribe",
-        longest_advice=ns(limits.get("MaxRetryAfter", 0)) if limits.get("RetryAfter") else 0,
-        tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
-        fall_multiple=rules["FallMultiple"], tip_after=ns(rules["TipAfter"]))
--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -5,47 +5,24 @@
 import orjson
 
 from .. import terms as t
+from ..announced import Names, Odd, ns, read_terms, word
+from ..books import Books
 from ..choice import Node
-from .codec import ENDINGS, STATES, Names, Odd, ms, ns, read_terms, word
+from .codec import ENDINGS, STATES, ms
 
 
 class Malformed(Exception):
     """The wire itself cannot be followed any further."""
 
 
-class Indices:
-    """Wire ids to small indices, which are used again once they are free."""
-
-    def __init__(self):
-        self.of, self.ids, self.spare = {}, [], []
-
-    def take(self, wire_id):
-        index = self.of.get(wire_id)
-        if index is None:
-            if self.spare:
-                index = self.spare.pop()
-                self.ids[index] = wire_id
-            else:
-                index = len(self.ids)
-                self.ids.append(wire_id)
-            self.of[wire_id] = index
-        return index
-
-    def free(self, index):
-        del self.of[self.ids[index]]
-        self.spare.append(index)
-
-
 class Desk:
-    """One instance: its node, and what is needed to give indices back. `out` holds, for each open txn, its
-    submissions so far, those out, and whether it is over; `busy` counts what is out at each app server."""
+    """One instance: its node, and the books of what is out."""
 
     def __init__(self, now, event):
         setup = event["Setup"]
         self.names = Names(setup)
-        self.node = Node(read_terms(setup, self.names), event["Seed"], now)
-        self.txns, self.servers = Indices(), Indices()
-        self.out, self.busy, self.gone, self.over = {}, {}, set(), []
+        self.node = Node(read_terms(setup), event["Seed"], now)
+        self.books = Books()
 
     def tell(self, now, event):
         handler = HANDLERS.get(event["cmd"])
@@ -63,29 +40,19 @@
         whole, rows = mode != "incr", []
         for row in event.get("Rows", ()):
             state = word(STATES, row["Status"], "status")
-            if state == t.REMOVED and row["Server"] not in self.servers.of:
+            index = self.books.listed(row["Server"], state == t.REMOVED)
+            if index is None:
                 continue
-            index = self.servers.take(row["Server"])
-            (self.gone.add if state == t.REMOVED else self.gone.discard)(index)
             rows.append(t.Listed(index, state, self.names.zones.get(row.get("Locality"), -1),
                                  row.get("Cohort", 0), row.get("Nominal", 1.0), ns(row.get("CameUp", 0))))
         if whole:
-            named = {row.server for row in rows}
-            self.gone.update(index for index in self.servers.of.values() if index not in named)
+            self.books.only(rows)
         return t.ServerList(whole, False, rows)
 
-    def sweep(self):
-        """Gives back the indices of app servers that left the list and have nothing of ours out."""
-        for index in [index for index in sorted(self.gone) if not self.busy.get(index)]:
-            self.gone.discard(index)
-            self.busy.pop(index, None)
-            self.servers.free(index)
-
     def req(self, event):
         product = word(self.names.products, event["TierClass"], "product")
         plan = word(self.names.plans, event["Tier"], "plan")
-        txn = self.txns.take(event["Req"])
-        self.out[txn] = [0, set(), False]
+        txn = self.books.take(event["Req"])
         return t.Arrival(txn, product, plan, event["UserKey"], event.get("Weight", 1), ns(event["Remaining"]),
                          max(1, event.get("SetSize", 1)))
 
@@ -94,33 +61,28 @@
 
     def returned(self, event):
         how = word(ENDINGS, event["Ending"], "ending")
-        txn = self.txns.of.get(event["Req"])
-        server = self.servers.of.get(event["Server"])
-        if txn is None or server is None or event.get("Attempt", 0) not in self.out[txn][1]:
+        txn = self.books.txns.of.get(event["Req"])
+        server = self.books.servers.of.get(event["Server"])
+        attempt = event.get("Attempt", 0)
+        if txn is None or server is None or attempt not in self.books.out[txn][1]:
             return None  # late, repeated or unknown
-        row = self.out[txn]
-        row[1].discard(event.get("Attempt", 0))
-        self.busy[server] -= 1
         final = event.get("Terminal", False)
-        row[2] = row[2] or final
+        self.books.back(txn, attempt, server, final)
         return t.Ended(txn, server, how, ns(event.get("Took", 0)), final, event.get("Charged", 0))
 
     def dropped(self, event):
-        txn = self.txns.of.get(event["Req"])
-        if txn is None or self.out[txn][2]:
-            return None
-        self.out[txn][2] = True
-        return t.Left(txn)
+        txn = self.books.txns.of.get(event["Req"])
+        return t.Left(txn) if txn is not None and self.books.finish(txn) else None
 
     def wake(self, event):
         return t.Due(event["Ref"])
 
     def sampled(self, event):
         how = word(ENDINGS, event["Ending"], "ending")
-        server = self.servers.of.get(event["Server"])
-        if server is None or not self.busy.get(server):
+        server = self.books.servers.of.get(event["Server"])
+        if server is None or not self.books.busy.get(server):
             return None
-        self.busy[server] -= 1
+        self.books.busy[server] -= 1
         return t.Probed(server, how, ns(event.get("Took", 0)), event.get("Report") or {})
 
     def added(self, event):
@@ -136,34 +98,27 @@
         return [WRITERS[type(effect)](self, effect) for effect in effects]
 
     def submit(self, e):
-        row = self.out[e.txn]
-        row[1].add(row[0])
-        row[0] += 1
-        self.busy[e.server] = self.busy.get(e.server, 0) + 1
-        return {"cmd": "Route", "Req": self.txns.ids[e.txn], "Server": self.servers.ids[e.server],
+        self.books.sent(e.txn, e.server)
+        return {"cmd": "Route", "Req": self.books.txns.ids[e.txn], "Server": self.books.servers.ids[e.server],
                 "AllowFor": ms(e.allow)}
 
     def cancel(self, e):
-        return {"cmd": "Retract", "Req": self.txns.ids[e.txn], "Attempt": self.out[e.txn][0] - 1}
+        return {"cmd": "Retract", "Req": self.books.txns.ids[e.txn], "Attempt": self.books.out[e.txn][0] - 1}
 
     def decline(self, e):
-        self.finish(e.txn)
-        return {"cmd": "Reject", "Req": self.txns.ids[e.txn], "RetryIn": ms(e.back_in)}
+        self.books.finish(e.txn)
+        return {"cmd": "Reject", "Req": self.books.txns.ids[e.txn], "RetryIn": ms(e.back_in)}
 
     def void(self, e):
-        self.finish(e.txn)
-        return {"cmd": "Lose", "Req": self.txns.ids[e.txn]}
-
-    def finish(self, txn):
-        self.out[txn][2] = True
-        self.over.append(txn)
+        self.books.finish(e.txn)
+        return {"cmd": "Lose", "Req": self.books.txns.ids[e.txn]}
 
     def remind(self, e):
         return {"cmd": "Remind", "Delay": ms(e.delay), "Ref": e.ref}
 
     def probe(self, e):
-        self.busy[e.server] = self.busy.get(e.server, 0) + 1
-        return {"cmd": "Poll", "Server": self.servers.ids[e.server]}
+        self.books.asked(e.server)
+        return {"cmd": "Poll", "Server": self.books.servers.ids[e.server]}
 
     def add(self, e):
         return {"cmd": "ChargeCounter", "Book": e.name, "Delta": e.amount, "Lifetime": ms(e.life)}
@@ -171,16 +126,6 @@
     def subscribe(self, e):
         return {"cmd": "KeepInformed", "Active": True}
 
-    def settle_up(self, event):
-        """After an event: gives back txns' indices if they are over with nothing out, and departed servers'."""
-        for txn in dict.fromkeys((self.txns.of.get(event.get("Req")), *self.over)):
-            if txn is not None and self.out[txn][2] and not self.out[txn][1]:
-                del self.out[txn]
-                self.txns.free(txn)
-        self.over.clear()
-        if self.gone:
-            self.sweep()
-
 
 HANDLERS = {"Targets": Desk.targets, "Req": Desk.req, "UnderWay": Desk.underway, "Returned": Desk.returned,
             "Dropped": Desk.dropped, "Wake": Desk.wake, "Sampled": Desk.sampled, "Added": Desk.added,
@@ -240,7 +185,7 @@
                 return []  # for a life that has ended
             else:
                 replies = self.desks[where].tell(self.now, event)
-                self.desks[where].settle_up(event)
+                self.desks[where].books.settle_up()
         except Odd as trouble:
             return self.fault(where, f"{cmd}: {trouble}")
         except KeyError as trouble:
