--- /dev/null
+++ b/rampfront/__main__.py
@@ -0,0 +1,82 @@
+"""`python -m rampfront`: one edge node on sockets. It starts the parts, minds signals and ends; no more.
+
+SIGTERM: serves on for a while, then takes nothing new, finishes what it took and exits 0. SIGUSR1 prints the
+counters. A faulty configuration is named on standard error, with exit status 2.
+"""
+
+import gc
+import random
+import signal
+import sys
+
+import uvloop
+
+from .net.counter import Counter
+from .net.desk import Desk
+from .net.discovery import Discovery
+from .net.front import Front
+from .net.launch import Faulty, load
+from .net.log import Log
+from .net.upstream import Upstream
+
+
+def start(loop, launch, log):
+    bounds, terms = launch.bounds, launch.terms
+    desk = Desk(loop, terms, launch.seed, log)
+    rev, _, rows = launch.known
+    upstream = desk.upstream = Upstream(loop, desk, bounds, launch.reports, log)
+    front = desk.front = Front(loop, desk, bounds, launch.names, terms, log)
+    draw = random.Random(launch.seed ^ 1).uniform
+    watch = Discovery(loop, desk, launch.discovery, rev, launch.names.zones, bounds, draw, log)
+    parts = [front, upstream, watch, log]
+    if launch.counter:
+        counter = desk.counter = Counter(loop, desk, launch.counter, terms.counter_wait, bounds, log)
+        counter.connect()
+        parts.append(counter)
+    desk.begin()
+    desk.listed(True, rows)
+    watch.start()
+    loop.run_until_complete(front.listen(*launch.listen))
+
+    def sweep():
+        for part in parts:
+            part.sweep()
+        desk.timers.after(bounds.sweep, sweep)
+
+    def ending():
+        log.say("ending")
+        desk.timers.after(bounds.serve_on, front.retire, loop.stop)
+        desk.timers.after(bounds.drain_most, loop.stop)
+
+    sweep()
+    loop.add_signal_handler(signal.SIGTERM, ending)
+    loop.add_signal_handler(signal.SIGUSR1, log.totals, "asked")
+
+
+def main():
+    try:
+        launch = load()
+    except Faulty as trouble:
+        print(f"rampfront: {trouble}", file=sys.stderr)
+        return 2
+    log = Log(launch.name, launch.bounds.quiet)
+    loop = uvloop.new_event_loop()
+
+    def fault(loop, about):
+        log.counts["faults"] += 1
+        log.note("fault", about.get("message", ""), trouble=repr(about.get("exception")))
+
+    loop.set_exception_handler(fault)
+    try:
+        start(loop, launch, log)
+    except OSError as trouble:
+        print(f"rampfront: cannot listen on {launch.listen[0]}:{launch.listen[1]}: {trouble}", file=sys.stderr)
+        return 1
+    log.say("serving", listen=launch.listen, app_servers=len(launch.known[2]))
+    gc.freeze()  # what stands now stays
+    loop.run_forever()
+    log.totals("exit")
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/rampfront/net/bounds.py
@@ -0,0 +1,50 @@
+"""Every limit of the network code: sizes, counts, times. Filled once at start and handed down.
+
+It owns the figures that keep the process inside its memory and descriptors. It must never hold a figure that
+decides about a txn: those stand in `choice.py`.
+"""
+
+from dataclasses import dataclass
+
+MS, SEC = 10 ** 6, 10 ** 9
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    clients: int  # connections from clients; past it idle ones are shed, and with none idle txns are declined
+    spare_clients: int  # connections past `clients` that are still answered
+    links: int  # connections to app servers; past it idle ones are shed
+    connect_wait: int  # a connection that is not up by then could not be made
+    link_idle: int  # an idle connection to an app server is closed by then, well before its far end does
+    head: int = 16 << 10  # bytes of a head
+    body: int = 64 << 10  # bytes of a body
+    line: int = 4 << 20  # bytes of a line of the server list
+    chunk: int = 64 << 10  # the one buffer that all connections are read into
+    fields: int = 64  # headers of a message
+    margin: int = 5 * MS  # an answer is out this long before its client gives up
+    client_idle: int = 120 * SEC  # an idle client connection is closed
+    read_wait: int = 10 * SEC  # a txn begun but not whole is given up
+    write_wait: int = 10 * SEC  # an answer that its client does not take is given up
+    probe_wait: int = 250 * MS
+    counter_silent: int = SEC  # a counter's connection that owes an answer for so long is replaced
+    counter_ping: int = 2 * SEC  # an idle one is used this often, so that it is not closed
+    counter_calls: int = 4096  # calls that may wait on one connection
+    watch_silent: int = 5 * SEC  # discovery beats every 2 s
+    retry_least: int = 50 * MS  # before another connection to discovery, drawn between the two
+    retry_most: int = 500 * MS
+    serve_on: int = 500 * MS  # after SIGTERM: go on as before
+    drain_most: int = 12 * SEC  # after SIGTERM: end whatever is left
+    sweep: int = SEC  # how often idle and stuck connections are looked for
+    quiet: int = 10 * SEC  # one log line an event and party in this time
+    backlog: int = 1024
+
+
+KEPT_BACK = 64  # descriptors for the listener, the loop, standard streams, counter and discovery
+SPARE = 32
+
+
+def fill(sockets, connect_wait, keepalive):
+    """Splits the descriptors evenly, since each open txn holds one of either side."""
+    each = max(8, (sockets - KEPT_BACK - SPARE) // 2)
+    return Bounds(clients=each, spare_clients=SPARE, links=each, connect_wait=connect_wait,
+                  link_idle=keepalive // 3)
--- /dev/null
+++ b/rampfront/net/desk.py
@@ -0,0 +1,185 @@
+"""The desk between sockets and decisions: inputs go in, effects are carried out in order, one timer heap.
+
+It owns the `Node`, the clock, the timers and the books of what is out. It must never decide anything, send
+anything again, or let the node be entered while effects are being carried out: what ends then is queued.
+"""
+
+import time
+from collections import deque
+from heapq import heapify, heappop, heappush
+
+from .. import terms as t
+from ..books import Books
+from ..choice import Node
+
+MS = 10 ** 6
+
+
+class Clock:
+    """The time that all machines share, wall clock at start, which then never goes back."""
+
+    def __init__(self):
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self):
+        return self.offset + time.monotonic_ns()
+
+
+class Timers:
+    """One heap and one timer of the loop. An entry is [due, number, what, about]; emptied as they fall due, and
+    of those called off once they are the greater part."""
+
+    def __init__(self, loop, clock):
+        self.loop, self.clock = loop, clock
+        self.heap, self.number, self.dead, self.handle, self.armed = [], 0, 0, None, 0
+
+    def after(self, delay, what, *about):
+        self.number += 1
+        entry = [self.clock() + delay, self.number, what, about]
+        heappush(self.heap, entry)
+        if self.heap[0] is entry:
+            self.arm()
+        return entry
+
+    def call_off(self, entry):
+        if entry[2] is not None:
+            entry[2] = entry[3] = None
+            self.dead += 1
+            if self.dead > 64 and 2 * self.dead > len(self.heap):
+                # Guards against time-outs of txns long answered that would pile up until they fall due.
+                self.heap = [entry for entry in self.heap if entry[2] is not None]
+                heapify(self.heap)
+                self.dead = 0
+
+    def arm(self):
+        if self.handle:
+            self.handle.cancel()
+        self.armed = self.heap[0][0]
+        wait = max(0, self.armed - self.clock())
+        self.handle = self.loop.call_later((wait + MS - 1) // MS / 1000, self.fire)
+
+    def fire(self):
+        self.handle = None
+        now = self.clock()
+        while self.heap and self.heap[0][0] <= now:
+            _, _, what, about = entry = heappop(self.heap)
+            if what is None:
+                self.dead -= 1
+            else:
+                entry[2] = None  # too late to be called off
+                what(*about)
+        if self.heap and self.handle is None:
+            self.arm()
+
+
+class Desk:
+    """`front`, `upstream` and `counter` are set by the program once they are made."""
+
+    def __init__(self, loop, terms, seed, log):
+        self.clock = Clock()
+        self.timers = Timers(loop, self.clock)
+        self.books, self.counts = Books(), log.counts
+        self.node = Node(terms, seed, self.clock())
+        self.running, self.queue = False, deque()
+        self.front = self.upstream = self.counter = None
+        self.writers = {t.Submit: self.submit, t.Cancel: self.cancel, t.Decline: self.decline,
+                        t.Void: self.void, t.Remind: self.remind, t.Probe: self.probe, t.Add: self.add,
+                        t.Subscribe: self.subscribe}
+
+    def begin(self):
+        self.tell(None)
+
+    def tell(self, told):
+        """Guards against re-entry: an effect that ends at once (a refused connect, say) waits its turn; what
+        the server list says goes before it, so that no later send goes by the older list."""
+        queue = self.queue
+        if self.running:
+            return queue.appendleft(told) if type(told) is t.ServerList else queue.append(told)
+        self.running, writers, take = True, self.writers, self.node.take
+        queue.append(told)
+        try:
+            while queue:
+                for effect in take(self.clock(), queue.popleft()):
+                    writers[type(effect)](effect)
+        finally:
+            self.running = False
+            self.books.settle_up()
+
+    # ---- inputs
+
+    def arrived(self, exchange, product, plan, account, units, expires_in, set_size):
+        exchange.txn = txn = self.books.take(exchange)
+        self.tell(t.Arrival(txn, product, plan, account, units, expires_in, set_size))
+
+    def left(self, exchange):
+        if self.books.out[exchange.txn][2]:
+            return
+        self.books.finish(exchange.txn)
+        self.tell(t.Left(exchange.txn))
+
+    def ended(self, exchange, server, how, took, true_units=0, body=None):
+        """A submission has ended. The first answer goes to the client by itself and ends the txn."""
+        txn = exchange.txn
+        final = self.books.back(txn, exchange.attempt, server, how == t.DONE)
+        exchange.link = None
+        if how == t.DONE and exchange.client:
+            self.front.settle(exchange, body)
+        self.tell(t.Ended(txn, server, how, took, final, true_units))
+
+    def probed(self, server, how, took, report):
+        self.books.busy[server] -= 1
+        self.tell(t.Probed(server, how, took, report))
+
+    def counted(self, name, total, how, took):
+        self.tell(t.Counted(name, total, how, took))
+
+    def listed(self, whole, rows):
+        """`rows`: uid, state, zone, cell, weight, came_up, and the address, which only `upstream` needs."""
+        said = []
+        for uid, state, zone, cell, weight, came_up, address in rows:
+            index = self.books.listed(uid, state == t.REMOVED)
+            if index is not None:
+                said.append(t.Listed(index, state, zone, cell, weight, came_up))
+                self.upstream.listed(index, uid, address, state == t.UP)
+        if whole:
+            self.books.only(said)
+        for index in self.books.gone:
+            self.upstream.removed(index)
+        self.tell(t.ServerList(whole, False, said))
+
+    # ---- effects
+
+    def submit(self, e):
+        exchange = self.books.txns.ids[e.txn]
+        exchange.attempt = self.books.sent(e.txn, e.server)
+        self.counts["submissions"] += 1
+        if exchange.attempt:
+            self.counts["resent"] += 1
+        self.upstream.submit(exchange, e.server, e.allow)
+
+    def cancel(self, e):
+        self.upstream.cancel(self.books.txns.ids[e.txn])
+
+    def decline(self, e):
+        self.books.finish(e.txn)
+        self.front.decline(self.books.txns.ids[e.txn], e.back_in)
+
+    def void(self, e):
+        self.books.finish(e.txn)
+        self.front.void(self.books.txns.ids[e.txn])
+
+    def remind(self, e):
+        self.timers.after(e.delay, self.due, e.ref)
+
+    def due(self, ref):
+        self.tell(t.Due(ref))
+
+    def probe(self, e):
+        self.books.asked(e.server)
+        self.upstream.probe(e.server)
+
+    def add(self, e):
+        self.counter.add(e.name, e.amount, e.life)
+
+    def subscribe(self, e):
+        pass  # the watch runs from the start and mends itself
--- /dev/null
+++ b/rampfront/net/discovery.py
@@ -0,0 +1,121 @@
+"""Discovery: the watch on the server list, read line by line, and joined anew when it breaks or falls silent.
+
+It owns that one connection and the version last read. It must never drop what is known of the list because
+discovery is ill: the node serves on from what it last heard.
+"""
+
+import asyncio
+
+import httptools
+import orjson
+
+from .. import terms as t
+
+STATES = {"in_service": t.UP, "terminating": t.DRAINING, "terminated": t.REMOVED}
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no host:port")
+    return host, int(port)
+
+
+def read_list(said, zones):
+    """One object of discovery: its version, whether it is the whole list, and its rows as the desk wants them."""
+    rows = []
+    for row in said["targets"]:
+        rows.append((row["uid"], STATES[row["state"]], zones.get(row.get("az"), -1), int(row.get("pod_group", 0)),
+                     float(row.get("capacity_hint", 1.0)), int(row.get("boot_ms", 0)) * 10 ** 6,
+                     address(row["endpoint"]) if "endpoint" in row or row["state"] != "terminated" else None))
+    return int(said["rev"]), bool(said.get("all", False)), rows
+
+
+class Watch(asyncio.Protocol):
+    """One connection to discovery."""
+
+    def __init__(self, discovery):
+        self.discovery, self.transport, self.task, self.rest = discovery, None, None, b""
+        self.parser = httptools.HttpResponseParser(self)
+
+    def opened(self, task):
+        self.task = None
+        if not task.cancelled() and task.exception() is not None:
+            self.discovery.lost(self, "no connection")
+
+    def connection_made(self, transport):
+        self.transport = transport
+        if self.discovery.watch is not self:
+            return transport.abort()
+        transport.write(b"GET /api/targets?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n" % (
+            self.discovery.rev, self.discovery.host.encode()))
+
+    def connection_lost(self, trouble):
+        self.discovery.lost(self, "connection ended")
+
+    def data_received(self, data):
+        if self.discovery.watch is not self:
+            return
+        self.discovery.heard = self.discovery.clock()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
+            self.discovery.lost(self, f"odd answer: {trouble.__context__ or trouble}")
+
+    def on_headers_complete(self):
+        if self.parser.get_status_code() != 200:
+            raise ValueError(f"status {self.parser.get_status_code()}")
+
+    def on_body(self, part):
+        *lines, self.rest = (self.rest + part).split(b"\n")
+        if len(self.rest) > self.discovery.bounds.line:
+            raise ValueError("a line too long")
+        for line in lines:
+            if line.strip():
+                self.discovery.read(line)
+
+    def on_message_complete(self):
+        raise ValueError("the watch ended")
+
+
+class Discovery:
+    def __init__(self, loop, desk, address, rev, zones, bounds, draw, log):
+        self.loop, self.desk, self.rev, self.zones = loop, desk, rev, zones
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        self.bounds, self.draw, self.log, self.counts = bounds, draw, log, log.counts
+        self.clock, self.timers = desk.clock, desk.timers
+        self.watch, self.heard, self.stopped = None, self.clock(), False
+
+    def start(self):
+        if self.stopped or self.watch:
+            return
+        self.counts["watches"] += 1
+        self.heard = self.clock()
+        self.watch = watch = Watch(self)
+        watch.task = self.loop.create_task(self.loop.create_connection(lambda: watch, *self.address))
+        watch.task.add_done_callback(watch.opened)
+
+    def read(self, line):
+        try:
+            rev, whole, rows = read_list(orjson.loads(line), self.zones)
+        except (ValueError, KeyError, TypeError, AttributeError) as trouble:
+            raise ValueError(f"odd line: {type(trouble).__name__} {trouble}") from None
+        self.rev = rev
+        self.counts["lists"] += 1
+        self.desk.listed(whole, rows)
+
+    def lost(self, watch, why):
+        """Joins again after a drawn time, so that nodes cut off together do not come back together."""
+        if watch.task:
+            watch.task.cancel()
+        if watch.transport:
+            watch.transport.abort()
+        if self.watch is watch:
+            self.watch = None
+            self.log.note("watch lost", why)
+            wait = self.draw(self.bounds.retry_least, self.bounds.retry_most)
+            self.timers.after(int(wait), self.start)
+
+    def sweep(self):
+        if self.watch and self.clock() - self.heard > self.bounds.watch_silent:
+            self.lost(self.watch, "silent")
--- /dev/null
+++ b/rampfront/net/front.py
@@ -0,0 +1,351 @@
+"""Clients: connections taken, txns read and checked, answers written, each whole and once.
+
+It owns the listening socket, the client connections and the open exchanges. It must never choose an answer: it
+words what it is told. By itself it answers only what no decision could be taken on (malformed, or past the
+descriptors), and the guard of an expiry too short for a call to the counter.
+"""
+
+import asyncio
+import re
+
+import httptools
+
+from .. import terms as t
+
+MS = 10 ** 6
+KEY = re.compile(rb"(?:^|;)\s*key=([0-9a-fA-F]{16})\s*(?:;|$)")
+TERMS = re.compile(rb"\s*(units|spread|first)\s*=\s*(\d{1,9}(?:\.\d{1,6})?)\s*")
+REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+           413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
+           502: b"Bad Gateway", 503: b"Service Unavailable"}
+KEPT = frozenset((b"x-request-id", b"x-class", b"x-tier", b"cookie", b"x-deadline-ms", b"idempotency-key",
+                  b"x-call-terms", b"content-type", b"expect"))
+
+
+class Unfit(Exception):
+    """What a client sent cannot be followed; `status` says why."""
+
+    def __init__(self, status, why):
+        super().__init__(why)
+        self.status = status
+
+
+class Exchange:
+    """One txn on its way: what is passed on, who waits for it, where it is out."""
+    __slots__ = ("client", "head", "body", "txn", "attempt", "link")
+
+    def __init__(self, client, head, body):
+        self.client, self.head, self.body = client, head, body
+        self.txn = self.attempt = -1
+        self.link = None  # the connection that its submission is out on
+
+
+class Client(asyncio.BufferedProtocol):
+    """One connection of the clients' front; one txn at a time."""
+    __slots__ = ("front", "transport", "parser", "url", "fields", "body", "size", "fed", "exchange", "since",
+                 "begun", "deaf", "over", "stuck", "crowded", "keep")
+
+    def __init__(self, front):
+        self.front = front
+        self.exchange = None  # the txn that is owed an answer
+        self.begun = self.deaf = self.over = self.stuck = self.crowded = False
+        self.keep = True
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.parser = httptools.HttpRequestParser(self)
+        self.since = self.front.clock()
+        self.fed = 0
+        self.front.joined(self)
+
+    def connection_lost(self, trouble):
+        exchange, self.exchange, self.deaf = self.exchange, None, True
+        self.front.parted(self)
+        if exchange:
+            exchange.client = None
+            self.front.counts["left"] += 1
+            self.front.desk.left(exchange)
+        self.parser = None
+
+    def eof_received(self):
+        return False  # a client that ends its sending has gone
+
+    def get_buffer(self, hint):
+        return self.front.buffer
+
+    def buffer_updated(self, size):
+        if self.deaf:
+            return
+        self.fed += size
+        try:
+            self.parser.feed_data(self.front.buffer[:size])
+            if self.begun and self.fed > self.front.most:
+                raise Unfit(431, "the head is too large")
+        except Unfit as trouble:
+            self.refuse(trouble)
+        except httptools.HttpParserUpgrade:
+            self.refuse(Unfit(400, "no upgrades here"))
+        except httptools.HttpParserError as trouble:
+            cause = trouble.__context__
+            self.refuse(cause if isinstance(cause, Unfit) else Unfit(400, "not HTTP/1.1"))
+
+    def pause_writing(self):
+        """Guards against a slow reader: no further txn is read from it until it has taken its answer."""
+        self.stuck, self.since = True, self.front.clock()
+        self.transport.pause_reading()
+
+    def resume_writing(self):
+        self.stuck, self.since = False, self.front.clock()
+        if not self.over:
+            self.transport.resume_reading()
+
+    # ---- of the parser
+
+    def on_message_begin(self):
+        if self.exchange or self.deaf:
+            self.front.counts["pipelined"] += 1
+            raise Unfit(400, "one txn at a time")
+        self.begun, self.since = True, self.front.clock()
+        self.url, self.fields, self.body, self.size = b"", {}, None, 0
+
+    def on_url(self, part):
+        self.url += part
+
+    def on_header(self, name, value):
+        name = name.lower()
+        if name in KEPT:
+            if name in self.fields:
+                raise Unfit(400, f"{name.decode()} twice")
+            self.fields[name] = value
+        self.size += 1
+        if self.size > self.front.bounds.fields:
+            raise Unfit(431, "too many headers")
+
+    def on_headers_complete(self):
+        if self.fed > self.front.bounds.head + self.front.bounds.body:
+            raise Unfit(431, "the head is too large")
+        self.size = 0
+        if b"expect" in self.fields:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, part):
+        self.size += len(part)
+        if self.size > self.front.bounds.body:
+            raise Unfit(413, "the body is too large")
+        self.body = part if self.body is None else self.body + part
+
+    def on_message_complete(self):
+        self.begun, self.fed = False, 0
+        self.keep = self.parser.should_keep_alive()
+        self.front.read(self)
+
+    # ---- answers
+
+    def answer(self, head, body):
+        """The whole answer, in one write. `head` lacks its last lines."""
+        self.exchange, self.since = None, self.front.clock()
+        if self.over:
+            return
+        last = not self.keep or self.deaf or self.crowded or self.front.closing
+        self.transport.write(b"%sContent-Length: %d\r\n%s\r\n%s" % (
+            head, len(body), b"Connection: close\r\n" if last else b"", body))
+        if last:
+            self.end()
+
+    def end(self):
+        """Closes once what was written is out; `sweep` ends what never gets there."""
+        if not self.over:
+            self.over = self.deaf = True
+            self.transport.close()
+
+    def refuse(self, trouble):
+        """What cannot be followed is answered, after the txn that is owed its answer, and nothing more is read."""
+        self.deaf, self.begun = True, False
+        self.front.malformed(self, trouble)
+
+
+class Front:
+    def __init__(self, loop, desk, bounds, names, terms, log):
+        self.loop, self.desk, self.bounds, self.log, self.counts = loop, desk, bounds, log, log.counts
+        self.clock, self.closing, self.server, self.done = desk.clock, False, None, None
+        self.buffer = memoryview(bytearray(bounds.chunk))  # shared: what is read is used up before the next read
+        self.most = bounds.head + bounds.body
+        self.clients = set()  # emptied as connections end
+        self.refused = {}  # clients owed a 4xx behind their answer; emptied with it
+        self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
+        self.plans = {name.encode(): k for name, k in names.plans.items()}
+        self.largest, self.nodes = terms.largest, terms.nodes
+        # An expiry that a call to the counter could outlast is guarded by a timer.
+        self.short = terms.counter_wait + 2 * terms.tick + 2 * bounds.margin
+
+    async def listen(self, host, port):
+        self.server = await self.loop.create_server(lambda: Client(self), host, port,
+                                                    backlog=self.bounds.backlog)
+
+    # ---- connections
+
+    def joined(self, client):
+        self.counts["clients"] += 1
+        self.clients.add(client)
+        if len(self.clients) > self.bounds.clients and not self.shed():
+            # Guards against more clients than descriptors: with none idle the newest is told to come back.
+            client.crowded = True
+            if len(self.clients) > self.bounds.clients + self.bounds.spare_clients:
+                client.deaf = client.over = True
+                client.transport.abort()
+
+    def shed(self):
+        """Closes the client connection that has been idle longest; false if none is."""
+        idle = [c for c in self.clients if not (c.exchange or c.begun or c.over or c.stuck)]
+        if len(idle) < 2:  # the newest one is idle too, and has just come
+            return False
+        self.counts["clients_shed"] += 1
+        min(idle, key=lambda c: c.since).end()
+        return True
+
+    def parted(self, client):
+        self.clients.discard(client)
+        self.refused.pop(client, None)
+        if self.closing and not self.clients and self.done:
+            self.done()
+
+    def sweep(self):
+        now, b = self.clock(), self.bounds
+        for c in list(self.clients):
+            age = now - c.since
+            if c.over or c.stuck:
+                if age > b.write_wait:
+                    self.counts["slow"] += 1
+                    c.transport.abort()
+            elif c.begun and age > b.read_wait:
+                self.counts["slow"] += 1
+                c.refuse(Unfit(408, "the txn never became whole"))
+            elif not c.exchange and not c.begun and age > b.client_idle:
+                c.end()
+
+    def retire(self, done):
+        """Takes nothing new; `done` is called once every client has its answer and is gone."""
+        self.closing, self.done = True, done
+        self.server.close()
+        for c in list(self.clients):
+            if not c.exchange and not c.begun:
+                c.end()
+        if not self.clients:
+            done()
+
+    # ---- txns in
+
+    def read(self, client):
+        url = client.url
+        if url.startswith(b"/-/"):
+            return self.own_page(client, url)
+        self.counts["taken"] += 1
+        if client.crowded:
+            self.counts["turned_away"] += 1
+            return client.answer(b"HTTP/1.1 503 Service Unavailable\r\n", b"")
+        try:
+            self.take(client, client.parser.get_method(), url, client.fields)
+        except Unfit as trouble:
+            client.refuse(trouble)
+
+    def take(self, client, method, url, fields):
+        get = fields.get
+        txn_id, key = get(b"x-request-id", b""), get(b"idempotency-key")
+        if not 0 < len(txn_id) <= 256:
+            raise Unfit(400, "X-Request-Id is missing or too long")
+        product, plan = self.products.get(get(b"x-class")), self.plans.get(get(b"x-tier"))
+        if product is None or plan is None:
+            raise Unfit(400, "unknown X-Class or X-Tier")
+        index, product = product
+        if method != (b"GET" if product.kind == t.INQUIRY else b"POST"):
+            raise Unfit(405, "not the method of its X-Class")
+        if product.kind == t.REFERENCED and not key:
+            raise Unfit(400, "Idempotency-Key is missing")
+        account = KEY.search(get(b"cookie", b""))
+        if not account:
+            raise Unfit(400, "no cookie key of 16 hex digits")
+        expiry = get(b"x-deadline-ms", b"")
+        if not expiry.isdigit() or not 0 < len(expiry) < 10 or not int(expiry):
+            raise Unfit(400, "X-Deadline-Ms is no time ahead")
+        units, spread = self.call_terms(get(b"x-call-terms", b""))
+        head = b"%s %s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\n" % (method, url, txn_id)
+        if key:
+            head += b"Idempotency-Key: %s\r\n" % key
+        if b"content-type" in fields:
+            head += b"Content-Type: %s\r\n" % fields[b"content-type"]
+        body = client.body or b""
+        if body or method == b"POST":
+            head += b"Content-Length: %d\r\n" % len(body)
+        client.exchange = exchange = Exchange(client, head, body)
+        client.fields = client.body = None
+        expires_in = int(expiry) * MS - self.bounds.margin
+        self.desk.arrived(exchange, index, plan, account.group(1).decode().lower(), units,
+                          max(MS, expires_in), spread)
+        if client.exchange is exchange and expires_in < self.short:
+            self.desk.timers.after(max(0, expires_in), self.too_late, exchange)
+
+    def call_terms(self, text):
+        found = {}
+        for part in text.split(b","):
+            match = TERMS.fullmatch(part)
+            if match and match.group(1) not in found:
+                found[match.group(1)] = match.group(2)
+            elif b"=" not in part or not match or match.group(1) in found:
+                raise Unfit(400, "odd X-Call-Terms")
+        units, spread = float(found.get(b"units", 0)), found.get(b"spread", b"")
+        if not 0 < units <= self.largest or not spread.isdigit() or not 1 <= int(spread) <= self.nodes:
+            raise Unfit(400, "odd X-Call-Terms")
+        return (int(units) if units.is_integer() else units), int(spread)
+
+    def too_late(self, exchange):
+        """Guards rule 1 where the wait for the counter could outlast the client: nothing is out yet."""
+        if exchange.client and not exchange.link:
+            self.desk.left(exchange)
+            self.decline(exchange, 0)
+
+    def own_page(self, client, url):
+        if url == b"/-/ready":
+            ready = not self.closing and self.desk.upstream.any_up()
+            client.answer(b"HTTP/1.1 200 OK\r\n" if ready else b"HTTP/1.1 503 Service Unavailable\r\n", b"")
+        else:
+            client.answer(b"HTTP/1.1 404 Not Found\r\n", b"")
+
+    def malformed(self, client, trouble):
+        if trouble.status != 408:
+            self.counts["malformed"] += 1
+        if client.exchange:
+            self.refused[client] = trouble
+        else:
+            self.word(client, trouble)
+
+    def word(self, client, trouble):
+        text = str(trouble).encode()
+        client.answer(b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n" % (
+            trouble.status, REASONS[trouble.status]), text)
+
+    # ---- answers out
+
+    def settle(self, exchange, body):
+        self.counts["settled"] += 1
+        self.out(exchange, b"HTTP/1.1 200 OK\r\n", body)
+
+    def decline(self, exchange, back_in):
+        self.counts["declined"] += 1
+        advice = b"Retry-After: %.3f\r\n" % (back_in / 1e9) if back_in else b""
+        self.out(exchange, b"HTTP/1.1 429 Too Many Requests\r\n" + advice, b"")
+
+    def void(self, exchange):
+        self.counts["voided"] += 1
+        self.out(exchange, b"HTTP/1.1 502 Bad Gateway\r\n", b"")
+
+    def out(self, exchange, head, body):
+        client, exchange.client = exchange.client, None
+        if client is None:
+            return
+        trouble = self.refused.pop(client, None)
+        if trouble is None:
+            return client.answer(head, body)
+        # Behind the last answer comes the 4xx of what followed it on the same connection.
+        client.transport.write(b"%sContent-Length: %d\r\n\r\n%s" % (head, len(body), body))
+        client.exchange = None
+        self.word(client, trouble)
--- /dev/null
+++ b/rampfront/net/launch.py
@@ -0,0 +1,137 @@
+"""The configuration: the one place where it is read, checked and given defaults; what is wrong names its key.
+
+It owns the meaning of the configuration's keys. It must never hand raw settings on: others get terms, names,
+addresses and bounds.
+"""
+
+import os
+from dataclasses import dataclass
+
+import orjson
+
+from ..announced import Names, Odd, ns, read_terms
+from . import bounds
+from .discovery import address, read_list
+
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+SETTINGS = {"Keepalive": 30000.0, "ConnectTimeout": 250.0}
+# What must stand in the settings: where, its kind, and how that is said. `[]` is each row of a list.
+NUMBER, COUNT, TEXT, LIST, OBJECT = "a number", "a whole number of 1 or more", "a text", "a list", "an object"
+NEEDED = (("Classes", LIST), ("Classes[].Name", TEXT), ("Classes[].Effect", TEXT), ("Classes[].OnTime", NUMBER),
+          ("Packages", LIST), ("Packages[].Name", TEXT), ("PeersTotal", COUNT), ("Limits", OBJECT),
+          ("Limits.AttemptsCap", COUNT), ("Rules", OBJECT), ("Rules.ColdShare", NUMBER),
+          ("Rules.WarmWithin", NUMBER), ("Rules.FallMultiple", NUMBER), ("Rules.TipAfter", NUMBER))
+OPTIONAL = (("Limits.Keepalive", NUMBER), ("Limits.ConnectTimeout", NUMBER), ("Limits.MaxRetryAfter", NUMBER),
+            ("Domain", OBJECT), ("Domain.CountWait", NUMBER), ("Domain.Largest", NUMBER), ("Tick", NUMBER),
+            ("Areas", LIST), ("Classes[].RepeatWindow", NUMBER), ("Classes[].LateWorth", NUMBER),
+            ("Packages[].PerSecond", NUMBER), ("Packages[].StoreSize", NUMBER), ("Packages[].AtOnce", NUMBER),
+            ("Packages[].NeverOverRate", NUMBER), ("Packages[].CapDepth", NUMBER),
+            ("Packages[].BeyondEarns", NUMBER), ("Packages[].ExcessCost", NUMBER), ("Reporting", OBJECT))
+KINDS = {
+    NUMBER: lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and v >= 0,
+    COUNT: lambda v: isinstance(v, int) and not isinstance(v, bool) and v >= 1,
+    TEXT: lambda v: isinstance(v, str) and v != "",
+    LIST: lambda v: isinstance(v, list) and v,
+    OBJECT: lambda v: isinstance(v, dict),
+}
+
+
+class Faulty(Exception):
+    """A key of the configuration does not hold what it should."""
+
+    def __init__(self, key, should, value):
+        super().__init__(f"{key} should be {should}" + ("; it is missing" if value is None else f", not {value!r:.80}"))
+
+
+@dataclass(slots=True)
+class Launch:
+    name: str
+    listen: tuple
+    discovery: tuple
+    counter: tuple | None
+    seed: int
+    known: tuple  # version, whole, rows
+    terms: object
+    names: object
+    bounds: object
+    reports: bool
+
+
+def check(value, kind, key):
+    if not KINDS[kind](value):
+        raise Faulty(key, kind, value)
+    return value
+
+
+def walk(value, path, kind, needed, key):
+    """Checks what stands at `path`, in each row where it says so."""
+    head, _, rest = path.partition(".")
+    name, many = head.removesuffix("[]"), head.endswith("[]")
+    value, key = value.get(name), f"{key}.{name}"
+    if value is None and not needed:
+        return
+    if not rest:
+        return check(value, kind, key)
+    for k, row in enumerate(check(value, LIST, key)) if many else ((None, value),):
+        where = f"{key}[{k}]" if many else key
+        walk(check(row, OBJECT, where), rest, kind, needed, where)
+
+
+def place(config, key):
+    value = check(config.get(key), TEXT, key)
+    try:
+        return address(value)
+    except ValueError:
+        raise Faulty(key, "host:port", value) from None
+
+
+def read(config, environ):
+    check(config, OBJECT, "the configuration")
+    told = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
+    config = {**{key: environ[name] for key, name in told.items() if environ.get(name)}, **config}
+    settings = check(config.get("settings"), OBJECT, "settings")
+    for paths, needed in ((NEEDED, True), (OPTIONAL, False)):
+        for path, kind in paths:
+            walk(settings, path, kind, needed, "settings")
+    try:
+        names, terms = Names(settings), read_terms(settings)
+    except (Odd, KeyError, TypeError, ValueError) as trouble:
+        raise Faulty("settings", "as the simulator's first message has it", str(trouble)) from None
+    limits = {**LIMITS, **check(config.get("limits", {}), OBJECT, "limits")}
+    for key, value in limits.items():
+        if key in LIMITS:
+            check(value, NUMBER, f"limits.{key}")
+    if limits["sockets"] < 128:
+        raise Faulty("limits.sockets", "128 or more", limits["sockets"])
+    seed = config.get("seed", "0")
+    try:
+        seed = seed if isinstance(seed, int) else int(seed, 16)
+    except (TypeError, ValueError):
+        raise Faulty("seed", "hex digits", seed) from None
+    known = config.get("known") or {"rev": 0, "all": True, "targets": []}
+    try:
+        known = read_list(known, names.zones)
+    except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        raise Faulty("known", "a list as discovery gives it", f"{type(trouble).__name__} {trouble}") from None
+    more = {**SETTINGS, **settings["Limits"]}
+    return Launch(
+        name=check(config.get("name"), TEXT, "name"), listen=place(config, "listen"),
+        discovery=place(config, "discovery"),
+        counter=place(config, "counter") if terms.has_counter else None,
+        seed=seed, known=known, terms=terms, names=names,
+        bounds=bounds.fill(int(limits["sockets"]), ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
+        reports=settings.get("Reporting", {}).get("How", "none") != "none")
+
+
+def load(environ=os.environ):
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise Faulty("RELAY_CONFIG", "the path of the configuration", None)
+    try:
+        with open(path, "rb") as file:
+            config = orjson.loads(file.read())
+    except OSError as trouble:
+        raise Faulty("RELAY_CONFIG", f"a file that can be read ({trouble.strerror})", path) from None
+    except orjson.JSONDecodeError as trouble:
+        raise Faulty("RELAY_CONFIG", f"a file of JSON ({trouble})", path) from None
+    return read(config, environ)
--- /dev/null
+++ b/rampfront/net/log.py
@@ -0,0 +1,52 @@
+"""The log: one JSON line an event on standard error, and the counters of what is taken in, sent and answered.
+
+It owns the counters and the record of what was lately said. It must never be called once a txn with a line to
+write: what happens to txns is counted, and printed on request (SIGUSR1) and at exit.
+"""
+
+import sys
+import time
+
+import orjson
+
+COUNTED = ("clients", "clients_shed", "taken", "malformed", "pipelined", "slow", "left", "settled", "declined",
+           "voided", "turned_away", "submissions", "resent", "done", "error", "unseen", "timed_out", "broken",
+           "cancelled", "connects", "connects_failed", "links_shed", "probes", "probes_failed",
+           "adds", "adds_refused", "adds_timed_out", "counter_connects", "lists", "watches", "odd_answers",
+           "fds_out", "faults")
+
+
+class Log:
+    def __init__(self, name, quiet, out=None):
+        self.name, self.quiet, self.out = name, quiet, out or sys.stderr.buffer
+        self.counts = dict.fromkeys(COUNTED, 0)
+        self.said = {}  # event and party: when, and how often since; emptied by `sweep`
+
+    def say(self, event, **more):
+        line = {"at": round(time.time(), 3), "node": self.name, "event": event, **more}
+        try:
+            self.out.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+            self.out.flush()
+        except OSError:
+            pass  # nobody reads the log; txns go on
+
+    def note(self, event, party, **more):
+        """The same as `say`, but once for a party in a while: an ill neighbour must not fill the log."""
+        now = time.monotonic_ns()
+        row = self.said.get((event, party))
+        if row and now - row[0] < self.quiet:
+            row[1] += 1
+            return
+        if len(self.said) < 1000:
+            self.said[event, party] = [now, 0]
+        self.say(event, party=party, **more)
+
+    def sweep(self):
+        now = time.monotonic_ns()
+        for key in [key for key, row in self.said.items() if now - row[0] >= self.quiet]:
+            since = self.said.pop(key)[1]
+            if since:
+                self.say(key[0], party=key[1], more=since)
+
+    def totals(self, why):
+        self.say("totals", why=why, **self.counts)
--- /dev/null
+++ b/rampfront/net/upstream.py
@@ -0,0 +1,316 @@
+"""App servers: a pool of connections to each, one submission or probe at a time on each of them.
+
+It owns these connections and says how each submission ended, as PROTOCOL words it. It must never send a
+submission again, send anything to an app server that is not listed as up, or call something unrun that may
+have run: what was handed to the kernel or waits in our buffer counts as written.
+"""
+
+import asyncio
+import socket
+
+import httptools
+import orjson
+
+from .. import terms as t
+
+MS = 10 ** 6
+IDLE, OPENING, WAITING, DEAD = range(4)
+CODES = {200: t.DONE, 500: t.ERROR}
+COUNTS = {t.DONE: "done", t.ERROR: "error", t.UNSEEN: "unseen", t.TIMED_OUT: "timed_out", t.BROKEN: "broken",
+          t.CANCELLED: "cancelled"}
+
+
+class Target:
+    """One app server as the list names it."""
+    __slots__ = ("index", "uid", "address", "up", "idle", "links")
+
+    def __init__(self, index, uid, address):
+        self.index, self.uid, self.address, self.up = index, uid, address, True
+        self.idle = []  # most recently used last; emptied by use, by age and as connections end
+        self.links = 0
+
+
+class Link(asyncio.BufferedProtocol):
+    """One connection to one app server. `exchange` is None for a probe."""
+    __slots__ = ("pool", "target", "transport", "parser", "state", "exchange", "sent_at", "due", "timer", "task",
+                 "since", "body", "size", "not_run", "units", "load")
+
+    def __init__(self, pool, target):
+        self.pool, self.target, self.state = pool, target, OPENING
+        self.transport = self.parser = self.exchange = self.timer = self.task = None
+
+    # ---- of the loop
+
+    def opened(self, task):
+        """The connect has ended; only its failure is of interest here."""
+        self.task = None
+        if not task.cancelled() and task.exception() is not None and self.state == OPENING:
+            self.pool.counts["connects_failed"] += 1
+            self.finish(t.UNSEEN)
+
+    def connection_made(self, transport):
+        self.transport = transport
+        if self.state != OPENING:
+            return transport.abort()
+        if not self.target.up:
+            # Guards rule 3: a connect that was waiting when its app server began to drain sends nothing.
+            return self.finish(t.UNSEEN)
+        self.parser = httptools.HttpResponseParser(self)
+        self.write()
+
+    def connection_lost(self, trouble):
+        if self.state == WAITING:
+            self.finish(t.BROKEN)
+        elif self.state == IDLE:
+            self.close()
+        self.parser = None
+
+    def eof_received(self):
+        return False
+
+    def get_buffer(self, hint):
+        return self.pool.buffer
+
+    def buffer_updated(self, size):
+        if self.state == DEAD:
+            return
+        if self.state == IDLE:
+            return self.odd("spoke unasked")
+        try:
+            self.parser.feed_data(self.pool.buffer[:size])
+        except httptools.HttpParserUpgrade:
+            self.odd("wants to upgrade")
+        except httptools.HttpParserError as trouble:
+            self.odd(str(trouble.__context__ or trouble))
+
+    def odd(self, why):
+        """What breaks the protocol is one failed exchange; it may have run."""
+        if self.state != DEAD:
+            self.pool.counts["odd_answers"] += 1
+            self.pool.log.note("odd answer", self.target.uid, why=why)
+            if self.state == IDLE:
+                self.close()
+            else:
+                self.finish(t.BROKEN)
+
+    # ---- of the parser
+
+    def on_message_begin(self):
+        if self.state != WAITING:
+            raise ValueError("an answer too many")
+        self.body, self.size, self.not_run, self.units, self.load = b"", 0, False, 0, None
+
+    def on_header(self, name, value):
+        if name[:1] in b"xX":
+            name = name.lower()
+            if name == b"x-not-run":
+                self.not_run = value.strip() == b"1"
+            elif name == b"x-cost-units" and value.isdigit() and len(value) < 10:
+                self.units = int(value)
+            elif name == b"x-load":
+                self.load = value
+
+    def on_headers_complete(self):
+        self.size = 0
+
+    def on_body(self, part):
+        self.size += len(part)
+        if self.size > self.pool.bounds.body:
+            raise ValueError("the answer is too large")
+        self.body = part if not self.body else self.body + part
+
+    def on_message_complete(self):
+        status = self.parser.get_status_code()
+        if status < 200:
+            return  # the answer proper follows
+        how = CODES.get(status)
+        if how is None:
+            how = t.UNSEEN if self.not_run and status in (503, 504) else t.ERROR
+            if status not in (503, 504):
+                self.pool.log.note("odd status", self.target.uid, status=status)
+        self.finish(how, self.parser.should_keep_alive())
+
+    # ---- one submission or probe
+
+    def begin(self, exchange, allow):
+        pool = self.pool
+        self.exchange, self.sent_at = exchange, pool.clock()
+        if exchange:
+            exchange.link = self
+        self.due = self.sent_at + allow
+        if self.state == IDLE:
+            self.write()
+        else:
+            self.timer = pool.timers.after(min(allow, pool.bounds.connect_wait), self.time_out)
+
+    def write(self):
+        pool, exchange, new = self.pool, self.exchange, self.state == OPENING
+        left = self.due - (pool.clock() if new else self.sent_at)
+        if left <= 0:
+            return self.finish(t.UNSEEN)
+        if new and self.timer:
+            pool.timers.call_off(self.timer)
+        self.state = WAITING
+        if exchange:
+            self.transport.write(b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (exchange.head, left // MS, exchange.body))
+        else:
+            self.transport.write(pool.probe_text)
+        self.timer = pool.timers.after(left, self.time_out)
+
+    def time_out(self):
+        self.timer = None
+        self.finish(t.TIMED_OUT if self.state == WAITING else t.UNSEEN)
+
+    def finish(self, how, keep=False):
+        """The one way in which a submission or probe ends; the connection lives on only behind an answer."""
+        pool, exchange = self.pool, self.exchange
+        if self.timer:
+            pool.timers.call_off(self.timer)
+        self.exchange = self.timer = None
+        now = pool.clock()
+        took, body = now - self.sent_at, self.body if self.state == WAITING and how == t.DONE else None
+        units = self.units if body is not None else 0
+        if keep and self.target.up:
+            self.state, self.since = IDLE, now
+            self.target.idle.append(self)
+        else:
+            self.close()
+        if exchange:
+            pool.counts[COUNTS[how]] += 1
+            pool.desk.ended(exchange, self.target.index, how, took, units, body)
+        else:
+            pool.probe_over(self, how, took, body)
+
+    def close(self):
+        """Guards rule 2: the far side must see the end of this one before another copy can reach anybody, so
+        the socket is shut here and now; the loop would do it a turn later."""
+        if self.state == DEAD:
+            return
+        if self.state == IDLE and self in self.target.idle:
+            self.target.idle.remove(self)
+        self.state = DEAD
+        self.target.links -= 1
+        self.pool.links -= 1
+        if self.task:
+            self.task.cancel()
+        if self.transport:
+            shut(self.transport)
+
+
+def shut(transport):
+    handle = transport.get_extra_info("socket")
+    if handle is not None and handle.fileno() >= 0:
+        twin = socket.socket(fileno=handle.fileno())
+        try:
+            twin.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # it has ended by itself
+        finally:
+            twin.detach()
+    transport.abort()
+
+
+class Upstream:
+    def __init__(self, loop, desk, bounds, reports, log):
+        self.loop, self.desk, self.bounds, self.log, self.counts = loop, desk, bounds, log, log.counts
+        self.clock, self.timers = desk.clock, desk.timers
+        self.buffer = memoryview(bytearray(bounds.chunk))  # shared: what is read is used up before the next read
+        self.targets = {}  # by index; emptied by `removed`
+        self.links = 0
+        self.reports = reports
+        self.probe_text = b"GET %s HTTP/1.1\r\nHost: app.svc\r\n\r\n" % (
+            b"/-/load" if reports else b"/-/healthy")
+
+    def any_up(self):
+        return any(target.up for target in self.targets.values())
+
+    def listed(self, index, uid, address, up):
+        target = self.targets.get(index)
+        if target is None:
+            target = self.targets[index] = Target(index, uid, address)
+        elif target.address != address or target.uid != uid:
+            target.uid, target.address = uid, address
+            self.close_idle(target)
+        target.up = up
+        if not up:
+            self.close_idle(target)
+
+    def removed(self, index):
+        """It has left the list. What is out there still ends; the index is handed out again only after that."""
+        target = self.targets.pop(index, None)
+        if target:
+            target.up = False
+            self.close_idle(target)
+
+    @staticmethod
+    def close_idle(target):
+        for link in list(target.idle):
+            link.close()
+
+    def link_to(self, index):
+        """The connection last used of those idle, or a new one; None if there is no descriptor left for it."""
+        target = self.targets[index]
+        while target.idle:
+            link = target.idle.pop()
+            if not link.transport.is_closing():
+                return link
+            target.idle.append(link)
+            link.close()
+        if self.links >= self.bounds.links and not self.shed():
+            return None
+        link = Link(self, target)
+        target.links += 1
+        self.links += 1
+        self.counts["connects"] += 1
+        link.task = self.loop.create_task(self.loop.create_connection(lambda: link, *target.address))
+        link.task.add_done_callback(link.opened)
+        return link
+
+    def shed(self):
+        """Closes the connection idle longest, whichever app server it leads to."""
+        oldest = [target.idle[0] for target in self.targets.values() if target.idle]
+        if not oldest:
+            return False
+        self.counts["links_shed"] += 1
+        min(oldest, key=lambda link: link.since).close()
+        return True
+
+    def submit(self, exchange, index, allow):
+        link = self.link_to(index)
+        if link is None:
+            # Guards against running out of descriptors: nothing was sent.
+            self.counts["fds_out"] += 1
+            self.counts["unseen"] += 1
+            return self.desk.ended(exchange, index, t.UNSEEN, 0)
+        link.begin(exchange, allow)
+
+    def cancel(self, exchange):
+        if exchange.link:
+            exchange.link.finish(t.CANCELLED)
+
+    def probe(self, index):
+        self.counts["probes"] += 1
+        link = self.link_to(index)
+        if link is None:
+            self.counts["probes_failed"] += 1
+            return self.desk.probed(index, t.UNSEEN, 0, {})
+        link.begin(None, self.bounds.probe_wait)
+
+    def probe_over(self, link, how, took, body):
+        report = {}
+        if how == t.DONE and (body or link.load):
+            try:
+                said = orjson.loads(body or link.load)
+                report = {k: v for k, v in said.items() if isinstance(v, (int, float)) and v >= 0}
+            except (ValueError, AttributeError):
+                if self.reports:
+                    self.log.note("odd report", link.target.uid)
+        if how != t.DONE:
+            self.counts["probes_failed"] += 1
+        self.desk.probed(link.target.index, how, took, report)
+
+    def sweep(self):
+        oldest = self.clock() - self.bounds.link_idle
+        for target in self.targets.values():
+            while target.idle and target.idle[0].since < oldest:
+                target.idle[0].close()
