--- a/rampfront/net/counter.py
+++ b/rampfront/net/counter.py
@@ -9,7 +9,14 @@
 
 from .. import terms as t
 
-PING = None
+
+
+def words(*parts):
+    """A call in RESP2: an array of bulk strings. The short inline form is not for programs: it is reset."""
+    return b"*%d\r\n" % len(parts) + b"".join([b"$%d\r\n%s\r\n" % (len(part), part) for part in parts])
+
+
+PING, PING_TEXT = None, words(b"PING")
 
 
 class Wire(asyncio.Protocol):
@@ -84,7 +91,7 @@
         wire = self.wire or self.connect()
         if len(wire.calls) >= self.bounds.counter_calls:
             return self.tell(name, t.UNSEEN, 0)
-        text = b"ADDGET %d %s %d\r\n" % (name, repr(amount).encode(), max(1, life // 10 ** 6))
+        text = words(b"ADDGET", b"%d" % name, repr(amount).encode(), b"%d" % max(1, life // 10 ** 6))
         up = wire.transport is not None
         wire.calls.append([name, self.clock(), up, False, None if up else text])
         if up:
@@ -111,6 +118,9 @@
                 return False
         elif mark != b"-":
             return False
+        elif not text.startswith(b"BUSY"):
+            # Guards against calls that are never understood and look, from afar, like a busy counter.
+            self.log.note("counter refuses", text[:80].decode("latin-1"))
         wire.calls.popleft()
         if name is not PING and not told:  # the answer to a call that has timed out is dropped
             self.tell(name, t.DONE if mark == b"$" else t.UNSEEN, self.clock() - when, total)
@@ -170,5 +180,5 @@
             return
         if not wire.calls and now - wire.heard > self.bounds.counter_ping:
             wire.calls.append([PING, now, True, False, None])
-            wire.transport.write(b"PING\r\n")
+            wire.transport.write(PING_TEXT)
         self.check(now)
