Plays of the whole program on a loop without waiting: each fault of the surroundings

Found by them: clients were kept in a set, so that the order of closing at SIGTERM was chance; and a send now passes a check of the list itself (upstream.py, link_to), beside the module's.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from .net.counter import Counter
-from .net.desk import Desk
+from .net.desk import Clock, Desk
 from .net.discovery import Discovery
 from .net.front import Front
 from .net.launch import Faulty, load
@@ -20,9 +20,10 @@
 from .net.upstream import Upstream
 
 
-def start(loop, launch, log):
+def start(loop, clock, launch, log):
+    """Makes the parts, joins them and listens; returns the desk."""
     bounds, terms = launch.bounds, launch.terms
-    desk = Desk(loop, terms, launch.seed, log)
+    desk = Desk(loop, clock, terms, launch.seed, log)
     rev, _, rows = launch.known
     upstream = desk.upstream = Upstream(loop, desk, bounds, launch.reports, log)
     front = desk.front = Front(loop, desk, bounds, launch.names, terms, log)
@@ -30,9 +31,9 @@
     watch = Discovery(loop, desk, launch.discovery, rev, launch.names.zones, bounds, draw, log)
     parts = [front, upstream, watch, log]
     if launch.counter:
-        counter = desk.counter = Counter(loop, desk, launch.counter, terms.counter_wait, bounds, log)
-        counter.connect()
-        parts.append(counter)
+        desk.counter = Counter(loop, desk, launch.counter, terms.counter_wait, bounds, log)
+        desk.counter.connect()
+        parts.append(desk.counter)
     desk.begin()
     desk.listed(True, rows)
     watch.start()
@@ -51,6 +52,7 @@
     sweep()
     loop.add_signal_handler(signal.SIGTERM, ending)
     loop.add_signal_handler(signal.SIGUSR1, log.totals, "asked")
+    return desk
 
 
 def main():
@@ -68,7 +70,7 @@
 
     loop.set_exception_handler(fault)
     try:
-        start(loop, launch, log)
+        start(loop, Clock(), launch, log)
     except OSError as trouble:
         print(f"rampfront: cannot listen on {launch.listen[0]}:{launch.listen[1]}: {trouble}", file=sys.stderr)
         return 1
@@ -79,4 +81,5 @@
     return 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -75,8 +75,8 @@
 class Desk:
     """`front`, `upstream` and `counter` are set by the program once they are made."""
 
-    def __init__(self, loop, terms, seed, log):
-        self.clock = Clock()
+    def __init__(self, loop, clock, terms, seed, log):
+        self.clock = clock
         self.timers = Timers(loop, self.clock)
         self.books, self.counts = Books(), log.counts
         self.node = Node(terms, seed, self.clock())
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -170,7 +170,7 @@
         self.clock, self.closing, self.server, self.done = desk.clock, False, None, None
         self.buffer = memoryview(bytearray(bounds.chunk))  # shared: what is read is used up before the next read
         self.most = bounds.head + bounds.body
-        self.clients = set()  # emptied as connections end
+        self.clients = {}  # in the order they came; emptied as connections end
         self.refused = {}  # clients owed a 4xx behind their answer; emptied with it
         self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
         self.plans = {name.encode(): k for name, k in names.plans.items()}
@@ -186,7 +186,7 @@
 
     def joined(self, client):
         self.counts["clients"] += 1
-        self.clients.add(client)
+        self.clients[client] = None
         if len(self.clients) > self.bounds.clients and not self.shed():
             # Guards against more clients than descriptors: with none idle the newest is told to come back.
             client.crowded = True
@@ -204,7 +204,7 @@
         return True
 
     def parted(self, client):
-        self.clients.discard(client)
+        self.clients.pop(client, None)
         self.refused.pop(client, None)
         if self.closing and not self.clients and self.done:
             self.done()
--- a/rampfront/net/log.py
+++ b/rampfront/net/log.py
@@ -13,7 +13,7 @@
            "voided", "turned_away", "submissions", "resent", "done", "error", "unseen", "timed_out", "broken",
            "cancelled", "connects", "connects_failed", "links_shed", "probes", "probes_failed",
            "adds", "adds_refused", "adds_timed_out", "counter_connects", "lists", "watches", "odd_answers",
-           "fds_out", "faults")
+           "links_short", "faults")
 
 
 class Log:
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -248,8 +248,10 @@
             link.close()
 
     def link_to(self, index):
-        """The connection last used of those idle, or a new one; None if there is no descriptor left for it."""
-        target = self.targets[index]
+        """The connection last used of those idle, or a new one; None if the list or the descriptors leave none."""
+        target = self.targets.get(index)
+        if target is None or not target.up:
+            return None
         while target.idle:
             link = target.idle.pop()
             if not link.transport.is_closing():
@@ -257,6 +259,7 @@
             target.idle.append(link)
             link.close()
         if self.links >= self.bounds.links and not self.shed():
+            self.counts["links_short"] += 1
             return None
         link = Link(self, target)
         target.links += 1
@@ -278,9 +281,7 @@
     def submit(self, exchange, index, allow):
         link = self.link_to(index)
         if link is None:
-            # Guards against running out of descriptors: nothing was sent.
-            self.counts["fds_out"] += 1
-            self.counts["unseen"] += 1
+            self.counts["unseen"] += 1  # nothing was sent
             return self.desk.ended(exchange, index, t.UNSEEN, 0)
         link.begin(exchange, allow)
 
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,295 @@
+"""The sockets: plays of the whole program against parties written from the protocol, on a loop without waiting."""
+
+import signal
+
+import pytest
+
+from helper import Stage, config, target
+from rampfront.net import launch
+
+
+def test_pool():
+    """An answer passes unchanged; the connection used last is used next, a new one only while all are busy."""
+    s = Stage()
+    s.ask(1)
+    s.ask(2, client="b", product="publish", more="Content-Type: x\r\n")
+    s.reply("s0", body="for the newer")
+    s.ask(3, client="b")
+    s.reply("s0", body="the same connection again")
+    s.wait(12000)
+    s.check("pool")
+
+
+def test_outcomes():
+    """What surely never ran may go elsewhere; what may have run ends a once-only txn."""
+    s = Stage(servers=2)
+    for txn, (status, more) in enumerate([(503, "X-Not-Run: 1\r\n"), (504, "X-Not-Run: 1\r\n"), (503, ""),
+                                          (500, "X-Not-Run: 1\r\n"), (404, "")]):
+        s.ask(txn, product="ledger")
+        where = s.out()
+        s.reply(where, status, "", more)
+        if s.out():
+            s.reply(s.out())
+    s.check("outcomes")
+
+
+def test_breaks():
+    """A break is 'never ran' only before anything was handed to the connection; half an answer is none."""
+    s = Stage(servers=2)
+    s.say("one refuses")
+    s.ways["s0"] = s.ways["s1"] = "refuses"
+    s.ask(1, product="ledger")
+    s.ways.clear()
+    s.say("reset once written")
+    s.ask(2, product="ledger")
+    s.pipes[s.out()].cut()
+    s.say("cut off mid-answer")
+    s.ask(3, product="ledger")
+    s.pipes[s.out()].feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+    s.pipes[s.out()].cut()
+    s.say("not HTTP; an inquiry goes elsewhere")
+    s.ask(4)
+    s.pipes[s.out()].feed("SSH-2.0-x\r\n")
+    s.reply(s.out())
+    s.say("an idle connection speaks unasked, or ends: it is not used again")
+    s.pipes[s.last].feed("HTTP/1.1 408 Too slow\r\n\r\n")
+    s.ask(5)
+    s.reply(s.out())
+    s.check("breaks")
+
+
+def test_connect_never_comes_up():
+    """The connect's time counts against the submission; nothing was sent, so another app server may do it."""
+    s = Stage(servers=2)
+    s.ways["s0"] = s.ways["s1"] = "silent"
+    s.ask(1, product="ledger")
+    s.ways.clear()
+    s.wait(240)
+    s.settle()
+    s.say("it came up after 240 ms; with the other product it does not in 250")
+    s.reply(s.out())
+    s.ways["s0"] = s.ways["s1"] = "silent"
+    s.ask(2, product="ledger")
+    s.ask(3, client="b", product="ledger")
+    s.wait(1100)
+    s.check("connects")
+
+
+def test_drain_while_connecting():
+    """A connect that waits when its app server begins to drain sends nothing when it comes up."""
+    s = Stage()
+    s.ways["s0"] = "silent"
+    s.ask(1, product="ledger")
+    s.told(target(0, "terminating"))
+    s.ways.clear()
+    s.settle()
+    s.check("drain")
+
+
+def test_time_outs():
+    """The first is shut before a second copy is sent; the last answer comes before the client gives up."""
+    s = Stage(servers=2)
+    s.ask(1, expiry=900)
+    s.wait(1000)
+    s.ask(2, product="publish", expiry=3000)
+    s.wait(3000)
+    s.check("time_outs")
+
+
+def test_client_leaves():
+    """What is out for a client that went is called off, also while its connect waits."""
+    s = Stage()
+    s.ask(1)
+    s.pipes["a"].cut()
+    s.ways["s0"] = "silent"
+    s.ask(2, client="b")
+    s.pipes["b"].cut()
+    s.ways.clear()
+    s.settle()
+    assert not s.desk.books.out and not s.desk.upstream.links
+    s.check("leaves")
+
+
+def test_malformed():
+    """Each gets its 4xx and its connection closed; a txn on another connection is untouched."""
+    s = Stage()
+    s.ask(0, client="b")
+    odd = [dict(X_Class="none"), dict(X_Tier=None), dict(Cookie="key=12"), dict(Cookie=None),
+           dict(X_Deadline_Ms=0), dict(X_Deadline_Ms="soon"), dict(X_Call_Terms="units=2"),
+           dict(X_Call_Terms="units=9,spread=2,first=1"), dict(X_Call_Terms="units=1,spread=3,first=1"),
+           dict(X_Request_Id=None), dict(X_Request_Id="i" * 300), dict(product="publish", Idempotency_Key=None),
+           dict(more="X-Class: fetch\r\n"), dict(more="X: 1\r\n" * 80), dict(more="X\r\n"),
+           dict(more="X: " + "x" * 90000 + "\r\n"), dict(product="ledger", body="x" * 70000)]
+    for txn, fields in enumerate(odd, 1):
+        s.ask(txn, **fields)
+    for raw in ("\x16\x03\x01", "PUT /api HTTP/1.1\r\nX-Request-Id: 9\r\n\r\n", "GET /-/other HTTP/1.1\r\n\r\n"):
+        s.client().feed(raw)
+    s.reply("s0")
+    assert s.log.counts["malformed"] == len(odd) + 2
+    s.check("malformed")
+
+
+def test_pipelined_and_half():
+    """The txn taken is answered, what was pipelined behind it refused; half a txn is given up."""
+    s = Stage()
+    s.ask(1)
+    s.ask(2)
+    s.reply("s0")
+    s.client("b").feed("POST /api HTTP/1.1\r\nX-Req")
+    s.wait(11500)
+    s.check("pipelined")
+
+
+def test_slow_reader():
+    """No further txn is read from a client that does not take its answer, and in the end it is closed."""
+    s = Stage()
+    s.ask(1)
+    s.reply("s0")
+    s.pipes["a"].protocol.pause_writing()
+    s.wait(11500)
+    s.check("slow_reader")
+
+
+def test_crowd():
+    """At the descriptors' limit idle ones go first; with none idle the newest are told that they come too soon."""
+    s = Stage(servers=16, limits={"sockets": 128})
+    for k in range(16):
+        s.ask(k, client=f"c{k}")
+    s.lines.clear()
+    s.ask(16, client="late")
+    s.say("an idle one makes room; so it goes with connections to app servers")
+    s.reply("s3")
+    s.ask(17, client="later")
+    s.counts("clients_shed", "turned_away", "links_shed", "links_short")
+    s.check("crowd")
+
+
+def test_counter():
+    """Answers in order, a time-out of our own, late answers dropped, a silent connection replaced."""
+    s = Stage()
+    s.ask(1, plan="held")
+    s.wait(60)
+    s.pipes["counter"].feed("$1\r\n1\r\n")
+    s.say("times out; its late answer is dropped, the next one counts")
+    for k in range(2, 5):
+        s.reply("s0")
+        s.ask(k, plan="held")
+    s.wait(100)
+    s.pipes["counter"].feed("$1\r\n4\r")
+    s.pipes["counter"].feed("\n")
+    s.ask(5, client="b", plan="held")
+    s.say("silent: replaced")
+    s.beats = False
+    s.wait(2700)
+    s.say("an answer that is none")
+    s.pipes["counter"].feed("HTTP/1.1 400 Bad\r\n")
+    s.counts("adds", "adds_timed_out", "adds_refused", "counter_connects")
+    s.check("counter")
+
+
+def test_counter_breaks():
+    """Refused and BUSY add nothing; a break after the call was written may have."""
+    s = Stage()
+    told = []
+    s.desk.counted = lambda name, total, how, took: told.append((name, total, how))
+    counter = s.desk.counter
+    counter.add(1, 2.5, 4 * 10 ** 9)
+    s.pipes["counter"].feed("-BUSY later\r\n")
+    counter.add(2, 1, 10 ** 6)
+    s.pipes["counter"].cut()
+    s.ways["counter"] = "refuses"
+    counter.add(3, 1, 10 ** 6)
+    s.settle()
+    s.ways["counter"] = "silent"
+    counter.add(4, 1, 10 ** 6)
+    s.wait(100)
+    s.ways.clear()
+    s.settle()
+    counter.add(5, -1.25, 10 ** 6)
+    s.pipes["counter"].feed("$4\r\n-1.2\r\n")
+    s.note(f"told {told}")
+    s.check("counter_breaks")
+
+
+def test_discovery():
+    """Cut off mid-line, silent, or odd: the node serves on from what it knows and joins again."""
+    s = Stage(servers=2)
+    s.told(target(0, "terminating"), rev=2)
+    s.pipes["discovery"].feed('40\r\n{"rev":3,"all":tr')
+    s.pipes["discovery"].cut()
+    s.wait(600)
+    s.told(target(0, "terminated"), target(1), rev=5)
+    s.pipes["discovery"].feed("6\r\n{\"re\"\n\r\n")
+    s.wait(600)
+    s.say("beats, then silence")
+    s.wait(4000)
+    s.beats = False
+    s.wait(8000)
+    s.told(target(2), whole=True, rev=9)
+    s.ask(1)
+    s.check("discovery")
+
+
+def test_restart():
+    """SIGTERM: serves on for half a second, then takes nothing new, finishes what it took and exits."""
+    s = Stage()
+    s.ask(1)
+    first = s.pipes["s0"]
+    s.client("idle")
+    s.signals[signal.SIGTERM]()
+    s.wait(400)
+    s.ask(2, client="b")
+    s.reply("s0")
+    s.wait(200)
+    s.pipes["s0"] = first
+    s.reply("s0")
+    s.wait(20)
+    s.check("restart")
+
+
+def test_ready():
+    """Ready only with a list of app servers."""
+    s = Stage(servers=0)
+    s.client().feed("GET /-/ready HTTP/1.1\r\n\r\n")
+    s.told(target(0))
+    s.client().feed("GET /-/ready HTTP/1.1\r\n\r\n")
+    s.check("ready")
+
+
+def test_short_expiry():
+    """A client whose patience is shorter than the counter's is answered in time all the same."""
+    s = Stage(Packages=[{"Name": "open"}, {"Name": "held", "PerSecond": 0.1, "StoreSize": 1.0}],
+              Domain={"HasCounter": True, "CountWait": 400.0, "Largest": 4})
+    s.ask(1, plan="held", expiry=900)
+    s.ask(2, client="b", plan="held", expiry=300)
+    s.wait(1000)
+    s.check("short_expiry")
+
+
+def test_tables_empty():
+    """Nothing grows with txns seen: time-outs called off, indices and names of what has ended are gone."""
+    s = Stage()
+    for k in range(3000):
+        s.ask(k, expiry=9000)
+        s.reply("s0")
+    assert not s.desk.books.out and len(s.desk.books.txns.ids) == 1 and not s.desk.queue
+    assert len(s.desk.timers.heap) < 300 and s.log.counts["connects"] == 1
+
+
+@pytest.mark.parametrize("change, says", [
+    (dict(listen="nowhere"), "listen should be host:port, not 'nowhere'"),
+    (dict(counter=None), "counter should be a text; it is missing"),
+    (dict(seed="xyz"), "seed should be hex digits, not 'xyz'"),
+    (dict(limits={"sockets": 20}), "limits.sockets should be 128 or more, not 20"),
+    (dict(limits={"sockets": "many"}), "limits.sockets should be a number, not 'many'"),
+    (dict(known={"rev": 1, "targets": [{"uid": "a"}]}), "known should be a list as discovery gives it"),
+    (dict(settings=None), "settings should be an object; it is missing"),
+    (config(Rules={"ColdShare": 0.1}), "settings.Rules.WarmWithin should be a number; it is missing"),
+    (config(PeersTotal=0), "settings.PeersTotal should be a whole number of 1 or more, not 0"),
+    (config(Classes=[{"Name": "a", "Effect": "pure"}]), "settings.Classes[0].OnTime should be a number"),
+    (config(Classes=[{"Name": "a", "Effect": "odd", "OnTime": 1}]), "unknown effect 'odd'"),
+    (config(Packages=[{"Name": "a", "PerSecond": "x"}]), "settings.Packages[0].PerSecond should be a number")])
+def test_faulty_key(change, says):
+    with pytest.raises(launch.Faulty) as trouble:
+        launch.read({**config(), **change}, {})
+    assert says in str(trouble.value)
