Decisions run outside the parsers' callbacks; a defect of ours costs one txn and is logged

What is whole is now taken up after feed_data; a defect voids the txn that it struck. Heads are held to 16 KiB of their own; before, only head and body together were. The process's own descriptor limit counts as well as the configured one.

--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -20,7 +20,6 @@
     body: int = 64 << 10  # bytes of a body
     line: int = 4 << 20  # bytes of a line of the server list
     chunk: int = 64 << 10  # the one buffer that all connections are read into
-    fields: int = 64  # headers of a message
     margin: int = 5 * MS  # an answer is out this long before its client gives up
     client_idle: int = 120 * SEC  # an idle client connection is closed
     read_wait: int = 10 * SEC  # a txn begun but not whole is given up
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -87,7 +87,7 @@
     def __init__(self, loop, clock, terms, seed, log):
         self.clock = clock
         self.timers = Timers(loop, self.clock)
-        self.books, self.counts = Books(), log.counts
+        self.books, self.log, self.counts = Books(), log, log.counts
         self.node = Node(terms, seed, self.clock())
         self.running, self.queue, self.now = False, deque(), 0
         self.front = self.upstream = self.counter = None
@@ -109,11 +109,31 @@
         try:
             while queue:
                 self.now = now = self.clock()
-                for effect in take(now, queue.popleft()):
+                told = queue.popleft()
+                for effect in take(now, told):
                     writers[type(effect)](effect)
+        except Exception as trouble:
+            self.fault(told, trouble)
         finally:
             self.running = False
             self.books.settle_up()
+        if queue:
+            self.tell(queue.popleft())
+
+    def fault(self, told, trouble):
+        """Guards rule 1 against a defect of ours: the txn it struck is voided, which promises nothing."""
+        self.counts["faults"] += 1
+        where = trouble.__traceback__
+        while where.tb_next:
+            where = where.tb_next
+        self.log.note("fault", type(told).__name__, trouble=repr(trouble),
+                      at=f"{where.tb_frame.f_code.co_filename}:{where.tb_lineno}")
+        txn = getattr(told, "txn", None)
+        if txn in self.books.out and not self.books.out[txn][2]:
+            exchange = self.books.txns.ids[txn]
+            self.books.finish(txn)
+            self.front.void(exchange)
+            self.upstream.cancel(exchange)
 
     # ---- inputs
 
--- a/rampfront/net/discovery.py
+++ b/rampfront/net/discovery.py
@@ -10,6 +10,7 @@
 import orjson
 
 from .. import terms as t
+from ..announced import Odd
 
 STATES = {"in_service": t.UP, "terminating": t.DRAINING, "terminated": t.REMOVED}
 
@@ -35,7 +36,7 @@
     """One connection to discovery."""
 
     def __init__(self, discovery):
-        self.discovery, self.transport, self.task, self.rest = discovery, None, None, b""
+        self.discovery, self.transport, self.task, self.rest, self.lines = discovery, None, None, b"", []
         self.parser = httptools.HttpResponseParser(self)
 
     def opened(self, task):
@@ -57,10 +58,20 @@
         if self.discovery.watch is not self:
             return
         self.discovery.heard = self.discovery.clock()
+        trouble = None
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
-            self.discovery.lost(self, f"odd answer: {trouble.__context__ or trouble}")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as odd:
+            trouble = odd.__context__ or odd
+        lines, self.lines = self.lines, []
+        for line in lines:  # not within the parser's callback, where a fault of ours would pass for theirs
+            try:
+                self.discovery.read(line)
+            except Odd as odd:
+                trouble = trouble or odd
+                break
+        if trouble:
+            self.discovery.lost(self, f"odd answer: {trouble}")
 
     def on_headers_complete(self):
         if self.parser.get_status_code() != 200:
@@ -68,11 +79,9 @@
 
     def on_body(self, part):
         *lines, self.rest = (self.rest + part).split(b"\n")
+        self.lines += [line for line in lines if line.strip()]
         if len(self.rest) > self.discovery.bounds.line:
             raise ValueError("a line too long")
-        for line in lines:
-            if line.strip():
-                self.discovery.read(line)
 
     def on_message_complete(self):
         raise ValueError("the watch ended")
@@ -99,7 +108,7 @@
         try:
             rev, whole, rows = read_list(orjson.loads(line), self.zones)
         except (ValueError, KeyError, TypeError, AttributeError) as trouble:
-            raise ValueError(f"odd line: {type(trouble).__name__} {trouble}") from None
+            raise Odd(f"{type(trouble).__name__} {trouble}") from None
         self.rev = rev
         self.counts["lists"] += 1
         self.desk.listed(whole, rows)
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -43,12 +43,12 @@
 class Client(asyncio.BufferedProtocol):
     """One connection of the clients' front; one txn at a time."""
     __slots__ = ("front", "transport", "parser", "url", "fields", "body", "size", "fed", "exchange", "since",
-                 "begun", "deaf", "over", "stuck", "crowded", "keep")
+                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep")
 
     def __init__(self, front):
         self.front = front
         self.exchange = None  # the txn that is owed an answer
-        self.begun = self.deaf = self.over = self.stuck = self.crowded = False
+        self.begun = self.whole = self.deaf = self.over = self.stuck = self.crowded = False
         self.keep = True
 
     def connection_made(self, transport):
@@ -77,17 +77,20 @@
         if self.deaf:
             return
         self.fed += size
+        trouble = None
         try:
             self.parser.feed_data(self.front.buffer[:size])
             if self.begun and self.fed > self.front.most:
-                raise Unfit(431, "the head is too large")
-        except Unfit as trouble:
-            self.refuse(trouble)
+                trouble = Unfit(431, "the head is too large")
         except httptools.HttpParserUpgrade:
-            self.refuse(Unfit(400, "no upgrades here"))
-        except httptools.HttpParserError as trouble:
-            cause = trouble.__context__
-            self.refuse(cause if isinstance(cause, Unfit) else Unfit(400, "not HTTP/1.1"))
+            trouble = Unfit(400, "no upgrades here")
+        except httptools.HttpParserError as odd:
+            trouble = odd.__context__ if isinstance(odd.__context__, Unfit) else Unfit(400, "not HTTP/1.1")
+        if self.whole:  # not within the parser's callback, where a fault of ours would pass for the client's
+            self.whole = False
+            self.front.read(self)
+        if trouble:
+            self.refuse(trouble)
 
     def pause_writing(self):
         """Guards against a slow reader: no further txn is read from it until it has taken its answer."""
@@ -102,7 +105,7 @@
     # ---- of the parser
 
     def on_message_begin(self):
-        if self.exchange or self.deaf:
+        if self.exchange or self.whole or self.deaf:
             self.front.counts["pipelined"] += 1
             raise Unfit(400, "one txn at a time")
         self.begun, self.since = True, self.front.swept
@@ -110,6 +113,7 @@
 
     def on_url(self, part):
         self.url += part
+        self.size += len(part)
 
     def on_header(self, name, value):
         name = name.lower()
@@ -117,13 +121,11 @@
             if name in self.fields:
                 raise Unfit(400, f"{name.decode()} twice")
             self.fields[name] = value
-        self.size += 1
-        if self.size > self.front.bounds.fields:
-            raise Unfit(431, "too many headers")
+        self.size += len(name) + len(value) + 4
+        if self.size > self.front.bounds.head:
+            raise Unfit(431, "the head is too large")
 
     def on_headers_complete(self):
-        if self.fed > self.front.bounds.head + self.front.bounds.body:
-            raise Unfit(431, "the head is too large")
         self.size = 0
         if b"expect" in self.fields:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -135,9 +137,8 @@
         self.body = part if self.body is None else self.body + part
 
     def on_message_complete(self):
-        self.begun, self.fed = False, 0
+        self.begun, self.whole, self.fed = False, True, 0
         self.keep = self.parser.should_keep_alive()
-        self.front.read(self)
 
     # ---- answers
 
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import resource
 from dataclasses import dataclass
 
 import orjson
@@ -85,7 +86,7 @@
         raise Faulty(key, "host:port", value) from None
 
 
-def read(config, environ):
+def read(config, environ, descriptors=1 << 20):
     check(config, OBJECT, "the configuration")
     told = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
     config = {**{key: environ[name] for key, name in told.items() if environ.get(name)}, **config}
@@ -101,8 +102,9 @@
     for key, value in limits.items():
         if key in LIMITS:
             check(value, NUMBER, f"limits.{key}")
-    if limits["sockets"] < 128:
-        raise Faulty("limits.sockets", "128 or more", limits["sockets"])
+    sockets = int(min(limits["sockets"], descriptors))
+    if sockets < 128:
+        raise Faulty("limits.sockets", "128 or more, and the process's own limit too", sockets)
     seed = config.get("seed", "0")
     try:
         seed = seed if isinstance(seed, int) else int(seed, 16)
@@ -119,7 +121,7 @@
         discovery=place(config, "discovery"),
         counter=place(config, "counter") if terms.has_counter else None,
         seed=seed, known=known, terms=terms, names=names,
-        bounds=bounds.fill(int(limits["sockets"]), ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
+        bounds=bounds.fill(sockets, ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
         reports=settings.get("Reporting", {}).get("How", "none") != "none")
 
 
@@ -134,4 +136,4 @@
         raise Faulty("RELAY_CONFIG", f"a file that can be read ({trouble.strerror})", path) from None
     except orjson.JSONDecodeError as trouble:
         raise Faulty("RELAY_CONFIG", f"a file of JSON ({trouble})", path) from None
-    return read(config, environ)
+    return read(config, environ, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
