The counter's time-out is called off once every call is answered

The rest are timers, the larger part the counter's: one wake a call, 80 ms after it, for an answer that had long come (counter.py answer, desk.py call_off).

--- a/rampfront/net/counter.py
+++ b/rampfront/net/counter.py
@@ -122,6 +122,9 @@
             # Guards against calls that are never understood and look, from afar, like a busy counter.
             self.log.note("counter refuses", text[:80].decode("latin-1"))
         wire.calls.popleft()
+        if self.timer and not wire.calls:  # a wake for nothing is dear
+            self.timers.call_off(self.timer)
+            self.timer = None
         if name is not PING and not told:  # the answer to a call that has timed out is dropped
             self.tell(name, t.DONE if mark == b"$" else t.UNSEEN, self.clock() - when, total)
         return True
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -53,6 +53,8 @@
                 self.heap = [entry for entry in self.heap if entry[2] is not None]
                 heapify(self.heap)
                 self.dead = 0
+            if self.handle and (not self.heap or self.heap[0] is entry):
+                self.arm()
 
     def arm(self):
         """Guards against waking for time-outs of what was answered long ago: a wake is dear, a pop is not."""
