A silent watch is replaced within 6 s; bodies are joined once; no counter without a wait

Seen while reading: what discovery has to tell counts as told after 6 s, but a silent watch was noticed 5 to 6 s after its last beat and joined again up to 0.5 s later (bounds.py watch_silent); two missed beats are now enough. A body that came in single bytes was copied anew for each (front.py, upstream.py on_body). With HasCounter and no CountWait every call timed out at once (launch.py); the key is named now.

--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -28,7 +28,7 @@
     counter_silent: int = SEC  # a counter's connection that owes an answer for so long is replaced
     counter_ping: int = 2 * SEC  # an idle one is used this often, so that it is not closed
     counter_calls: int = 4096  # calls that may wait on one connection
-    watch_silent: int = 5 * SEC  # discovery beats every 2 s
+    watch_silent: int = 4500 * MS  # discovery beats every 2 s, and what it has to tell counts as told after 6
     retry_least: int = 50 * MS  # before another connection to discovery, drawn between the two
     retry_most: int = 500 * MS
     serve_on: int = 500 * MS  # after SIGTERM: go on as before
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -109,7 +109,7 @@
             self.front.counts["pipelined"] += 1
             raise Unfit(400, "one txn at a time")
         self.begun, self.since = True, self.front.swept
-        self.url, self.fields, self.body, self.size = b"", {}, None, 0
+        self.url, self.fields, self.body, self.size = b"", {}, [], 0
 
     def on_url(self, part):
         self.url += part
@@ -134,7 +134,7 @@
         self.size += len(part)
         if self.size > self.front.bounds.body:
             raise Unfit(413, "the body is too large")
-        self.body = part if self.body is None else self.body + part
+        self.body.append(part)
 
     def on_message_complete(self):
         self.begun, self.whole, self.fed = False, True, 0
@@ -278,11 +278,11 @@
             head += b"Idempotency-Key: %s\r\n" % key
         if b"content-type" in fields:
             head += b"Content-Type: %s\r\n" % fields[b"content-type"]
-        body = client.body or b""
+        body = b"".join(client.body)
         if body or method == b"POST":
             head += b"Content-Length: %d\r\n" % len(body)
         client.exchange = exchange = Exchange(client, head, body)
-        client.fields = client.body = None
+        client.fields = client.body = None  # a connection that stands idle holds nothing of its last txn
         expires_in = int(expiry) * MS - self.bounds.margin
         self.desk.arrived(exchange, index, plan, account.group(1).decode().lower(), units,
                           max(MS, expires_in), spread)
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -98,6 +98,8 @@
         names, terms = Names(settings), read_terms(settings)
     except (Odd, KeyError, TypeError, ValueError) as trouble:
         raise Faulty("settings", "as the simulator's first message has it", str(trouble)) from None
+    if terms.has_counter and not terms.counter_wait:
+        raise Faulty("settings.Domain.CountWait", "more than 0 where there is a counter", 0)
     limits = {**LIMITS, **check(config.get("limits", {}), OBJECT, "limits")}
     for key, value in limits.items():
         if key in LIMITS:
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -104,7 +104,7 @@
     def on_message_begin(self):
         if self.whole:
             raise ValueError("an answer too many")
-        self.body, self.size, self.not_run, self.units, self.load = b"", 0, False, 0, None
+        self.body, self.size, self.not_run, self.units, self.load = [], 0, False, 0, None
 
     def on_header(self, name, value):
         if name[:1] in b"xX":
@@ -120,7 +120,7 @@
         self.size += len(part)
         if self.size > self.pool.bounds.body:
             raise ValueError("the answer is too large")
-        self.body = part if not self.body else self.body + part
+        self.body.append(part)
 
     def on_message_complete(self):
         self.whole = self.parser.get_status_code() >= 200  # else the answer proper follows
@@ -174,8 +174,10 @@
             pool.timers.call_off(self.timer)
         self.exchange = self.timer = None
         now = pool.clock()
-        took, body = now - self.sent_at, self.body if self.state == WAITING and how == t.DONE else None
-        units = self.units if body is not None else 0
+        took, body, units = now - self.sent_at, None, 0
+        if how == t.DONE:
+            body, units = b"".join(self.body), self.units
+        self.body = None  # an idle connection holds nothing of its last answer
         if keep and self.target.up:
             self.state, self.since = IDLE, now
             self.target.idle.append(self)
@@ -206,7 +208,7 @@
 def shut(transport):
     handle = transport.get_extra_info("socket")
     if handle is not None and handle.fileno() >= 0:
-        twin = socket.socket(fileno=handle.fileno())
+        twin = socket.socket(handle.family, socket.SOCK_STREAM, 0, handle.fileno())
         try:
             twin.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -365,6 +365,7 @@
     (dict(known={"rev": 1, "targets": [{"uid": "a"}]}), "known should be a list as discovery gives it"),
     (dict(settings=None), "settings should be an object; it is missing"),
     (config(Rules={"ColdShare": 0.1}), "settings.Rules.WarmWithin should be a number; it is missing"),
+    (config(Domain={"HasCounter": True}), "settings.Domain.CountWait should be more than 0"),
     (config(PeersTotal=0), "settings.PeersTotal should be a whole number of 1 or more, not 0"),
     (config(Classes=[{"Name": "a", "Effect": "pure"}]), "settings.Classes[0].OnTime should be a number"),
     (config(Classes=[{"Name": "a", "Effect": "odd", "OnTime": 1}]), "unknown effect 'odd'"),
