--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -40,9 +40,9 @@
     loop.run_until_complete(front.listen(*launch.listen))
 
     def sweep():
+        desk.timers.after(bounds.sweep, sweep)  # first, so that a defect below does not end it
         for part in parts:
             part.sweep()
-        desk.timers.after(bounds.sweep, sweep)
 
     def ending():
         log.say("ending")
@@ -51,6 +51,7 @@
 
     sweep()
     loop.add_signal_handler(signal.SIGTERM, ending)
+    loop.add_signal_handler(signal.SIGINT, ending)
     loop.add_signal_handler(signal.SIGUSR1, log.totals, "asked")
     return desk
 
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -72,15 +72,17 @@
     def fire(self):
         self.handle = None
         now = self.clock()
-        while self.heap and self.heap[0][0] <= now:
-            _, _, what, about = entry = heappop(self.heap)
-            if what is None:
-                self.dead -= 1
-            else:
-                entry[2] = None  # too late to be called off
-                what(*about)
-        if self.handle is None:
-            self.arm()
+        try:
+            while self.heap and self.heap[0][0] <= now:
+                _, _, what, about = entry = heappop(self.heap)
+                if what is None:
+                    self.dead -= 1
+                else:
+                    entry[2] = None  # too late to be called off
+                    what(*about)
+        finally:  # guards against one defect that would stop all timers
+            if self.handle is None:
+                self.arm()
 
 
 class Desk:
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -95,7 +95,8 @@
     def pause_writing(self):
         """Guards against a slow reader: no further txn is read from it until it has taken its answer."""
         self.stuck, self.since = True, self.front.swept
-        self.transport.pause_reading()
+        if not self.over:
+            self.transport.pause_reading()
 
     def resume_writing(self):
         self.stuck, self.since = False, self.front.swept
