--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -9,7 +9,7 @@
 MS, SEC = 10 ** 6, 10 ** 9
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False, eq=False, match_args=False)
 class Bounds:
     clients: int  # connections from clients; past it idle ones are shed, and with none idle txns are declined
     spare_clients: int  # connections past `clients` that are still answered
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -6,11 +6,11 @@
 
 import os
 import resource
-from dataclasses import dataclass
 
 import orjson
 
 from ..announced import Names, Odd, ns, read_terms
+from ..terms import slotted
 from . import bounds
 from .discovery import address, read_list
 
@@ -46,7 +46,7 @@
         super().__init__(f"{key} should be {should}{found}")
 
 
-@dataclass(slots=True)
+@slotted
 class Launch:
     name: str
     listen: tuple
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -18,7 +18,7 @@
 
 
 def slotted(cls):
-    return dataclass(slots=True)(cls)
+    return dataclass(slots=True, repr=False, eq=False, match_args=False)(cls)  # each of them costs at start
 
 
 @slotted
