SIGHUP moves discovery and the counter to their new addresses

Changed: SIGHUP reads the configuration again; a faulty one is named in the log and nothing changes. Discovery ends its old watch and joins the new address at once.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -1,6 +1,7 @@
 """`python -m rampfront`: one edge node on sockets. It starts the parts, minds signals and ends; no more.
 
-SIGTERM: serves on for a while, then takes nothing new, finishes what it took and exits 0. SIGUSR1 prints the
+SIGTERM: serves on for a while, then takes nothing new, finishes what it took and exits 0. SIGHUP reads the
+configuration again, of which the addresses of discovery and the counter are taken over. SIGUSR1 prints the
 counters. A faulty configuration is named on standard error, with exit status 2.
 """
 
@@ -20,8 +21,8 @@
 from .net.upstream import Upstream
 
 
-def start(loop, clock, launch, log):
-    """Makes the parts, joins them and listens; returns the desk."""
+def start(loop, clock, launch, log, again=load):
+    """Makes the parts, joins them and listens; returns the desk. `again` reads the configuration anew."""
     bounds, terms = launch.bounds, launch.terms
     desk = Desk(loop, clock, terms, launch.seed, (bounds.ride, bounds.ride_part), log)
     rev, _, rows = launch.known
@@ -49,7 +50,19 @@
         desk.timers.after(bounds.serve_on, front.retire, loop.stop)
         desk.timers.after(bounds.drain_most, loop.stop)
 
+    def reread():
+        """Guards the txns under way against a faulty file: it is named, and what stands goes on."""
+        try:
+            new = again()
+        except Faulty as trouble:
+            return log.say("configuration kept", why=str(trouble))
+        log.say("configuration read", discovery=new.discovery, counter=new.counter)
+        watch.move(new.discovery)
+        if desk.counter and new.counter:
+            desk.counter.move(new.counter)
+
     sweep()
+    loop.add_signal_handler(signal.SIGHUP, reread)
     loop.add_signal_handler(signal.SIGTERM, ending)
     loop.add_signal_handler(signal.SIGINT, ending)
     loop.add_signal_handler(signal.SIGUSR1, log.totals, "asked")
--- a/rampfront/net/discovery.py
+++ b/rampfront/net/discovery.py
@@ -50,7 +50,7 @@
         if self.discovery.watch is not self:
             return transport.abort()
         transport.write(b"GET /api/targets?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n" % (
-            self.discovery.rev, self.discovery.host.encode()))
+            self.discovery.rev, b"%s:%d" % (self.discovery.address[0].encode(), self.discovery.address[1])))
 
     def connection_lost(self, trouble):
         self.discovery.lost(self, "connection ended")
@@ -91,7 +91,7 @@
 class Discovery:
     def __init__(self, loop, desk, address, rev, zones, bounds, draw, log):
         self.loop, self.desk, self.rev, self.zones = loop, desk, rev, zones
-        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        self.address = address
         self.bounds, self.draw, self.log, self.counts = bounds, draw, log, log.counts
         self.clock, self.timers = desk.clock, desk.timers
         self.watch, self.heard, self.stopped = None, self.clock(), False
@@ -105,6 +105,15 @@
         watch.task = self.loop.create_task(self.loop.create_connection(lambda: watch, *self.address))
         watch.task.add_done_callback(watch.opened)
 
+    def move(self, address):
+        """Discovery is elsewhere from now on: what the old one still says would be old news."""
+        if address == self.address:
+            return
+        self.address, old = address, self.watch
+        if old:
+            self.end(old)
+        self.start()
+
     def read(self, line):
         try:
             rev, whole, rows = read_list(orjson.loads(line), self.zones)
@@ -116,15 +125,19 @@
 
     def lost(self, watch, why):
         """Joins again after a drawn time, so that nodes cut off together do not come back together."""
+        if self.end(watch):
+            self.log.note("watch lost", why)
+            wait = self.draw(self.bounds.retry_least, self.bounds.retry_most)
+            self.timers.after(int(wait), self.start)
+
+    def end(self, watch):
+        """True if it was the one that is read."""
         if watch.task:
             watch.task.cancel()
         if watch.transport:
             watch.transport.abort()
-        if self.watch is watch:
-            self.watch = None
-            self.log.note("watch lost", why)
-            wait = self.draw(self.bounds.retry_least, self.bounds.retry_most)
-            self.timers.after(int(wait), self.start)
+        was, self.watch = self.watch is watch, None if self.watch is watch else self.watch
+        return was
 
     def sweep(self):
         if self.watch and self.clock() - self.heard > self.bounds.watch_silent:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -100,7 +100,7 @@
     "PeersTotal": 2, "Domain": {"HasCounter": True, "CountWait": 80.0, "Largest": 4},
     "Limits": {"AttemptsCap": 3, "MayCancel": True, "ConnectTimeout": 250.0, "Keepalive": 30000.0},
     "Rules": {"ColdShare": 0.2, "WarmWithin": 10000.0, "FallMultiple": 2.0, "TipAfter": 1000.0}, "Tick": 2.0}
-PORTS = {8500: "discovery", 6400: "counter"}
+PORTS = {8500: "discovery", 6400: "counter", 8501: "discovery-2", 6401: "counter-2"}
 
 
 def target(k, state="in_service", boot=0):
@@ -205,6 +205,7 @@
 
 class Stage:
     def __init__(self, servers=1, limits=None, **settings):
+        self.file = config(servers, **settings)  # what SIGHUP finds
         self.beats = True  # whether discovery beats and the counter answers a PING
         self.now, self.number, self.handles, self.lines = 0, 0, [], []
         self.opening, self.ends, self.ways, self.pipes, self.signals = [], [], {}, {}, {}
@@ -212,7 +213,7 @@
         told["limits"].update(limits or {})
         launch = read(told, {})
         self.log = Log("n0", 10 ** 10, self)
-        self.desk = start(self, lambda: 10 ** 18 + self.now, launch, self.log)
+        self.desk = start(self, lambda: 10 ** 18 + self.now, launch, self.log, lambda: read(self.file, {}))
         self.settle()
         self.beat()
         self.lines.clear()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -278,6 +278,47 @@
     s.check("restart")
 
 
+def test_reload():
+    """SIGHUP: new addresses at once, no txn touched, each call to the counter written once and to one place;
+    a faulty file is named and changes nothing."""
+    s = Stage()
+    s.ask(1, plan="held")
+    s.wait(80)
+    s.say("faulty, then unchanged, then moved with a txn and a call out")
+    s.file["discovery"] = "nowhere"
+    s.signals[signal.SIGHUP]()
+    s.file["discovery"] = "127.0.0.1:8500"
+    s.signals[signal.SIGHUP]()
+    s.file.update(discovery="127.0.0.1:8501", counter="127.0.0.1:6401")
+    s.signals[signal.SIGHUP]()
+    s.pipes["counter"].feed("$1\r\n1\r\n")
+    s.reply("s0")
+    s.wait(1500)
+    s.say("again while the new counter does not come up: what was not written goes to the next")
+    s.file.update(discovery="127.0.0.1:8500", counter="127.0.0.1:6400")
+    s.ways["counter"] = "silent"
+    s.signals[signal.SIGHUP]()
+    s.desk.counter.add(77, 3, 10 ** 9)
+    s.file.update(counter="127.0.0.1:6401")
+    s.signals[signal.SIGHUP]()
+    s.say("a call on the old connection keeps the next of its name there; a break may have added both")
+    s.file.update(counter="127.0.0.1:6400")
+    s.ways.clear()
+    s.desk.counter.add(78, 4, 10 ** 9)
+    s.signals[signal.SIGHUP]()
+    s.desk.counter.add(78, 5, 10 ** 9)
+    s.desk.counter.add(79, 6, 10 ** 9)
+    s.pipes["counter-2"].cut()
+    s.pipes["counter"].feed("$1\r\n6\r\n")
+    s.signals[signal.SIGTERM]()
+    s.file.update(counter="127.0.0.1:6401")
+    s.signals[signal.SIGHUP]()
+    s.wait(600)
+    s.counts("adds", "adds_timed_out", "adds_refused", "counter_connects", "watches", "left")
+    assert not s.desk.counter.leaving
+    s.check("reload")
+
+
 def test_ready():
     """Ready only with a list of app servers."""
     s = Stage(servers=0)
