Totals lift a node's share of a ceiling to an even part of what is left

At fault: `Account.store` starts at nothing (Node.account, store_at = began) and fills at an even split (Node.store), so a customer whose traffic comes in at one node (46 units here, 10 elsewhere) gets a quarter of its ceiling, and after a start nearly nothing for two seconds.

Changed: `on_total` lifts the store to an even part of what the totals leave of the ceiling's depth. Safe since the window's limit lies below the depth and refills slower, and since growth past a quarter of a share is told early. It acts only on a total read for a plan whose excess never pays; with a silent counter the even split stays.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -1,10 +1,8 @@
-"""All decisions of one edge node.
+"""All decisions of one edge node: `Node(terms, seed, now)`, `begin(now)` once, `take(now, told)` per input.
 
-Called as `Node(terms, seed, now)`, then `begin(now)` once and `take(now, told)` for each input; both return
-the effects, to be carried out in order. The interface is `terms.py`; times are whole nanoseconds. Read `TXN`
-and `COUNTER` first: they are the decisions. Submissions pass `lawful` (rules 2 to 5) and `submit` (rule 1).
-Quotas: `within` is the sliding-window test of RFC 0015, `flush` its delta adds, `ask_first` the exception.
-"""
+Both return the effects, to be carried out in order. The interface is `terms.py`; times are whole nanoseconds.
+Read `TXN` and `COUNTER` first. Submissions pass `lawful` (rules 2 to 5) and `submit` (rule 1). Quotas:
+`within` is the sliding-window test of RFC 0015, `flush` its delta adds, `ask_first` the exception."""
 
 from collections import deque
 from hashlib import blake2b
@@ -130,8 +128,7 @@
         self.up = [s for s in self.servers.values() if s.state == t.UP]
 
     def let_go(self, server):
-        if server.state == t.REMOVED and not server.out:
-            self.servers.pop(server.id, None)
+        self.servers.pop(server.id, None) if server.state == t.REMOVED and not server.out else None
 
     def on_arrival(self, told):
         account = self.account(told.account, told.plan, told.set_size)
@@ -188,8 +185,7 @@
         return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
                 and self.random() * sqrt(self.stretch) < 1.0 and self.mark(CALL))
 
-    def may_decline(self, txn):
-        """Rule 2: a decline only where no submission can have run, or a repeat is dropped everywhere."""
+    def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
         return txn.risk_at is None or txn.line.harmless
 
     def again(self, txn):
@@ -318,8 +314,7 @@
         return account.store
 
     def within(self, account, units):
-        ledger = account.rate
-        if ledger:
+        if ledger := account.rate:
             self.hasten(ledger)
             left = self.roll(ledger)
             own = ledger.now.own + ledger.past.own * left
@@ -346,7 +341,7 @@
             if txn:
                 txn.told = True
 
-    def fresh(self, ledger):  # whether the others' figure still bounds what they sent on
+    def fresh(self, ledger):
         return self.now - ledger.read_at < STALE * TICK
 
     def count(self, txn):
@@ -423,8 +418,7 @@
         self.effects.append(t.Add(name, amount, min(life, 60 * SEC)))
 
     def on_counted(self, told):
-        waiting = self.calls.get(told.name)
-        if waiting:
+        if waiting := self.calls.get(told.name):
             what, about = waiting.pop(0)
             if not waiting:
                 del self.calls[told.name]
@@ -446,7 +440,13 @@
             window.doubt = 0.0
         window.held = max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
-        ledger.others = ledger.now.held + ledger.past.held * self.roll(ledger)
+        left, account = self.roll(ledger), self.accounts.get(ledger.key)
+        ledger.others = ledger.now.held + ledger.past.held * left
+        if account and account.quota.fill > 0 and not account.quota.pays:
+            # Guards against a ceiling that leaves a customer an even split, or nothing at our start: our part
+            # of what the totals leave of its depth is ours until the next total. A flood is told early.
+            room = account.quota.depth - ledger.others - ledger.now.own - ledger.past.own * left
+            account.store = max(self.store(account), room / account.nodes)
 
     def mark(self, seen):
         """Reads the counter's table; tells whether a call may be made."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -101,6 +101,22 @@
     p.check("ceiling")
 
 
+def test_ceiling_by_totals():
+    """A total lifts our share of the ceiling to an even part of what it leaves, wherever the traffic comes in;
+    where the others have used it, or nobody answers, the even split at the ceiling's rate stays."""
+    for others in (0, 26):
+        p = Play()
+        p.say(f"the others have sent on {others}")
+        p.arrive(0, plan=2, units=4)
+        p.wait(100)
+        p.count(others)
+        for txn in range(1, 9):
+            p.serve([txn], plan=2, units=4)
+            if p.adds:
+                p.count(others + 4 * txn)
+        p.check(f"ceiling_{others}")
+
+
 def test_repeats():
     """Rule 2: what each product may still do once a submission may have run, or surely has not."""
     p = Play(servers=0)
