Limits at the door: bad clients are turned away whole, spoilt answers end in time

Silent connections stood 120 s, descriptors at their cap; a good txn with bytes behind it in the same read was sent on all the same.

Changed: front: one id open once (409), lengths, keys, `first`, expiries and bodies of a GET checked, bytes behind a txn refuse it whole, connections that bring nothing closed after 2 s and first to make room, idle ones after 5 s. upstream: heads and whole answers bounded, a begun answer is whole within 150 ms, an idle connection with unread bytes is not used, decimals of X-Cost-Units read, reports checked. counter: text that cannot become an answer ends the connection at once, a begun one after 100 ms. bounds: clients get what app servers' third leaves of the descriptors.

--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -18,16 +18,22 @@
     link_idle: int  # an idle connection to an app server is closed by then, well before its far end does
     head: int = 16 << 10  # bytes of a head
     body: int = 64 << 10  # bytes of a body
+    wire: int = 256 << 10  # bytes of an answer as it comes, chunks and 1xx in front of it included
     line: int = 4 << 20  # bytes of a line of the server list
     chunk: int = 64 << 10  # the one buffer that all connections are read into
     margin: int = 5 * MS  # an answer is out this long before its client gives up
-    client_idle: int = 120 * SEC  # an idle client connection is closed
-    read_wait: int = 10 * SEC  # a txn begun but not whole is given up
-    write_wait: int = 10 * SEC  # an answer that its client does not take is given up
+    client_idle: int = 5 * SEC  # a client connection idle behind an answer is closed
+    silent_wait: int = 2 * SEC  # and one that has brought no whole txn since it was made
+    silent_least: int = 100 * MS  # past `clients`, one that has brought nothing for so long makes room
+    read_wait: int = 2 * SEC  # a txn begun but not whole is given up
+    write_wait: int = 5 * SEC  # an answer that its client does not take is given up
+    expiry_most: int = 600 * SEC  # no client waits longer
     probe_wait: int = 250 * MS
+    answer_wait: int = 150 * MS  # an answer that has begun is whole by then, or spoilt
     ride: int = 20 * MS  # a reminder of the module waits so long for another wake to ride along with,
     ride_part: int = 50  # and no longer than its delay by this
-    counter_silent: int = SEC  # a counter's connection that owes an answer for so long is replaced
+    counter_silent: int = SEC  # a counter's connection that owes an answer for so long is replaced,
+    counter_begun: int = 100 * MS  # and one whose answer has begun and does not go on
     counter_ping: int = 2 * SEC  # an idle one is used this often, so that it is not closed
     counter_calls: int = 4096  # calls that may wait on one connection
     watch_silent: int = 4500 * MS  # discovery beats every 2 s, and what it has to tell counts as told after 6
@@ -35,18 +41,19 @@
     retry_most: int = 500 * MS
     serve_on: int = 500 * MS  # after SIGTERM: go on as before
     drain_most: int = 12 * SEC  # after SIGTERM: end whatever is left
-    sweep: int = SEC  # how often idle and stuck connections are looked for
+    sweep: int = 250 * MS  # how often idle and stuck connections are looked for
     quiet: int = 10 * SEC  # one log line an event and party in this time
     backlog: int = 1024
     said: int = 1024  # texts of X-Call-Terms whose meaning is kept
 
 
-KEPT_BACK = 64  # descriptors for the listener, the loop, standard streams, counter and discovery
-SPARE = 32
+KEPT_BACK = 32  # descriptors for the listener, the loop, standard streams, counter and discovery
+SPARE = 16
 
 
 def fill(sockets, connect_wait, keepalive):
-    """Splits the descriptors evenly, since each open txn holds one of either side."""
-    each = max(8, (sockets - KEPT_BACK - SPARE) // 2)
-    return Bounds(clients=each, spare_clients=SPARE, links=each, connect_wait=connect_wait,
-                  link_idle=keepalive // 3)
+    """Clients hold a third of the descriptors for txns at most: app servers get as many and some for probes,
+    client connections the rest, since most of those stand idle or have nothing good to say."""
+    links = sockets // 3 + SPARE
+    return Bounds(clients=sockets - KEPT_BACK - SPARE - links, spare_clients=SPARE, links=links,
+                  connect_wait=connect_wait, link_idle=keepalive // 3)
--- a/rampfront/net/counter.py
+++ b/rampfront/net/counter.py
@@ -84,7 +84,7 @@
             if not self.calls or not self.counter.answer(self, mark, text):
                 return self.counter.lost(self, "odd answer")
         self.rest = data[at:]
-        if len(self.rest) > 4096:
+        if len(self.rest) > 1100 or self.rest and self.rest[:1] not in b"$+-:":
             self.counter.lost(self, "odd answer")
 
 
@@ -191,8 +191,10 @@
         self.check(wire, now)
 
     def check(self, wire, now):
-        """Guards against a connection that is open and quiet because its far end is gone."""
-        if wire.calls and now - max(wire.heard, wire.calls[0][1]) > self.bounds.counter_silent:
+        """Guards against a connection that is open and quiet because its far end is gone, or because what it
+        began to say was no answer: the calls behind it would all time out."""
+        wait = self.bounds.counter_begun if wire.rest else self.bounds.counter_silent
+        if wire.calls and now - max(wire.heard, wire.calls[0][1]) > wait:
             self.lost(wire, "never came up" if wire.transport is None else "silent")
 
     def lost(self, wire, why):
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -14,13 +14,14 @@
 from .. import terms as t
 
 MS = 10 ** 6
+LARGEST_KEY = (1 << 33).to_bytes(8, "big")
 KEY = re.compile(rb"(?:^|;)\s*key=([0-9a-fA-F]{16})\s*(?:;|$)")
 TERMS = re.compile(rb"\s*(units|spread|first)\s*=\s*(\d{1,9}(?:\.\d{1,6})?)\s*")
 REASONS = {400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-           413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
+           409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
            502: b"Bad Gateway", 503: b"Service Unavailable"}
 KEPT = frozenset((b"x-request-id", b"x-class", b"x-tier", b"cookie", b"x-deadline-ms", b"idempotency-key",
-                  b"x-call-terms", b"content-type", b"expect"))
+                  b"x-call-terms", b"content-type", b"content-length", b"expect"))
 
 
 class Unfit(Exception):
@@ -32,30 +33,37 @@
 
 
 class Exchange:
-    """One txn on its way: what is passed on, who waits for it, where it is out."""
-    __slots__ = ("client", "head", "body", "txn", "attempt", "link")
+    """One txn on its way: what is passed on, who waits for it, where it is out. Its id alone tells it from
+    others: while it is open, no second one may go out under that id."""
+    __slots__ = ("client", "id", "head", "body", "txn", "attempt", "link")
 
-    def __init__(self, client, head, body):
-        self.client, self.head, self.body = client, head, body
+    def __init__(self, client, txn_id, head, body):
+        self.client, self.id, self.head, self.body = client, txn_id, head, body
         self.txn = self.attempt = -1
         self.link = None  # the connection that its submission is out on
 
+    def __hash__(self):
+        return hash(self.id)
+
+    def __eq__(self, other):
+        return self.id == other.id
+
 
 class Client(asyncio.BufferedProtocol):
     """One connection of the clients' front; one txn at a time."""
     __slots__ = ("front", "transport", "parser", "url", "fields", "body", "size", "fed", "exchange", "since",
-                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep")
+                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep", "fresh")
 
     def __init__(self, front):
         self.front = front
         self.exchange = None  # the txn that is owed an answer
         self.begun = self.whole = self.deaf = self.over = self.stuck = self.crowded = False
-        self.keep = True
+        self.keep = self.fresh = True  # fresh: it has brought no whole txn yet
 
     def connection_made(self, transport):
         self.transport = transport
         self.parser = httptools.HttpRequestParser(self)
-        self.since = self.front.swept
+        self.since = self.front.clock()
         self.fed = 0
         self.front.joined(self)
 
@@ -87,11 +95,11 @@
             trouble = Unfit(400, "no upgrades here")
         except httptools.HttpParserError as odd:
             trouble = odd.__context__ if isinstance(odd.__context__, Unfit) else Unfit(400, "not HTTP/1.1")
-        if self.whole:  # not within the parser's callback, where a fault of ours would pass for the client's
-            self.whole = False
-            self.front.read(self)
-        if trouble:
+        whole, self.whole = self.whole, False
+        if trouble:  # what came whole in front of it is not taken either: its length may be the lie
             self.refuse(trouble)
+        elif whole:  # not within the parser's callback, where a fault of ours would pass for the client's
+            self.front.read(self)
 
     def pause_writing(self):
         """Guards against a slow reader: no further txn is read from it until it has taken its answer."""
@@ -110,7 +118,9 @@
         if self.exchange or self.whole or self.deaf:
             self.front.counts["pipelined"] += 1
             raise Unfit(400, "one txn at a time")
-        self.begun, self.since = True, self.front.swept
+        self.begun = True
+        if not self.fresh:  # else its time runs from the connect: a bad client is turned away within 3 s
+            self.since = self.front.swept
         self.url, self.fields, self.body, self.size = b"", {}, [], 0
 
     def on_url(self, part):
@@ -129,6 +139,9 @@
 
     def on_headers_complete(self):
         self.size = 0
+        length = self.fields.get(b"content-length", b"0")
+        if len(length) > 9 or int(length) > self.front.bounds.body:  # the parser leaves nothing but digits
+            raise Unfit(413, "the body is too large")
         if b"expect" in self.fields:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -139,7 +152,7 @@
         self.body.append(part)
 
     def on_message_complete(self):
-        self.begun, self.whole, self.fed = False, True, 0
+        self.begun, self.whole, self.fed, self.fresh = False, True, 0, False
         self.keep = self.parser.should_keep_alive()
 
     # ---- answers
@@ -162,9 +175,11 @@
             self.transport.close()
 
     def refuse(self, trouble):
-        """What cannot be followed is answered, behind the txn that is owed its answer; no more is read."""
-        self.deaf, self.begun = True, False
-        self.front.malformed(self, trouble)
+        """What cannot be followed is answered at once and no more is read. A txn that is out for this client
+        was followed by bytes that belong to nothing: it is refused whole and called off."""
+        if not self.over:
+            self.deaf, self.begun = True, False
+            self.front.malformed(self, trouble)
 
 
 class Front:
@@ -176,7 +191,6 @@
         self.buffer = memoryview(bytearray(bounds.chunk))  # shared: each read is used up before the next
         self.most = bounds.head + bounds.body
         self.clients = {}  # in the order they came; emptied as connections end
-        self.refused = {}  # clients owed a 4xx behind their answer; emptied with it
         self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
         self.plans = {name.encode(): k for name, k in names.plans.items()}
         self.largest, self.nodes = terms.largest, terms.nodes
@@ -200,17 +214,20 @@
                 client.transport.abort()
 
     def shed(self):
-        """Closes the client connection that has been idle longest; false if none is."""
-        idle = [c for c in self.clients if not (c.exchange or c.begun or c.over or c.stuck)]
-        if len(idle) < 2:  # the newest one is idle too, and has just come
+        """Closes the client connection that has been silent or else idle longest; false if none is. One that
+        has just come is spared: its first txn may be on its way, and would fail."""
+        now, bounds = self.clock(), self.bounds
+        free = [c for c in self.clients if not (c.exchange or c.over or c.stuck)
+                and (c.fresh and now - c.since > bounds.silent_least or not c.fresh and not c.begun)]
+        if not free:
             return False
         self.counts["clients_shed"] += 1
-        min(idle, key=lambda c: c.since).end()
+        # Guards the usual clients against hundreds that connect and say nothing: these make room first.
+        min(free, key=lambda c: (not c.fresh, c.since)).end()
         return True
 
     def parted(self, client):
         self.clients.pop(client, None)
-        self.refused.pop(client, None)
         if self.closing and not self.clients and self.done:
             self.done()
 
@@ -226,7 +243,7 @@
             elif c.begun and age > b.read_wait:
                 self.counts["slow"] += 1
                 c.refuse(Unfit(408, "the txn never became whole"))
-            elif not c.exchange and not c.begun and age > b.client_idle:
+            elif not c.exchange and not c.begun and age > (b.silent_wait if c.fresh else b.client_idle):
                 c.end()
 
     def retire(self, done):
@@ -269,7 +286,7 @@
             raise Unfit(400, "Idempotency-Key is missing")
         account = self.account(get(b"cookie", b""))
         expiry = get(b"x-deadline-ms", b"")
-        if not expiry.isdigit() or not 0 < len(expiry) < 10 or not int(expiry):
+        if not expiry.isdigit() or len(expiry) > 9 or not 0 < int(expiry) * MS <= self.bounds.expiry_most:
             raise Unfit(400, "X-Deadline-Ms is no time ahead")
         text = get(b"x-call-terms", b"")
         units, spread = self.said.get(text) or self.call_terms(text)
@@ -279,9 +296,15 @@
         if b"content-type" in fields:
             head += b"Content-Type: %s\r\n" % fields[b"content-type"]
         body = b"".join(client.body)
-        if body or method == b"POST":
+        if body and method == b"GET":
+            raise Unfit(400, "a GET has no body")
+        if method == b"POST":
             head += b"Content-Length: %d\r\n" % len(body)
-        client.exchange = exchange = Exchange(client, head, body)
+        exchange = Exchange(client, txn_id, head, body)
+        if exchange in self.desk.books.txns.of:
+            # Guards rule 2 against a second copy that goes out under the id of one that is open.
+            raise Unfit(409, "its X-Request-Id is open")
+        client.exchange = exchange
         client.fields = client.body = None  # a connection that stands idle holds nothing of its last txn
         expires_in = int(expiry) * MS - self.bounds.margin
         self.desk.arrived(exchange, index, plan, account, units, max(MS, expires_in), spread)
@@ -296,9 +319,11 @@
             found = KEY.search(cookie)
             key = found.group(1) if found else b"none"
         try:
-            unhexlify(key)
+            number = unhexlify(key)
         except ValueError:
             raise Unfit(400, "no cookie key of 16 hex digits") from None
+        if number >= LARGEST_KEY:
+            raise Unfit(400, "the cookie's key is out of range")
         return key.decode().lower()
 
     def call_terms(self, text):
@@ -309,8 +334,9 @@
                 found[match.group(1)] = match.group(2)
             elif b"=" not in part or not match or match.group(1) in found:
                 raise Unfit(400, "odd X-Call-Terms")
-        units, spread = float(found.get(b"units", 0)), found.get(b"spread", b"")
-        if not 0 < units <= self.largest or not spread.isdigit() or not 1 <= int(spread) <= self.nodes:
+        units, spread, first = float(found.get(b"units", 0)), found.get(b"spread", b""), found.get(b"first", b"")
+        if not (0 < units <= self.largest and spread.isdigit() and 1 <= int(spread) <= self.nodes
+                and first.isdigit() and int(first) < self.nodes):
             raise Unfit(400, "odd X-Call-Terms")
         if len(self.said) >= self.bounds.said:
             self.said.clear()
@@ -333,12 +359,10 @@
     def malformed(self, client, trouble):
         if trouble.status != 408:
             self.counts["malformed"] += 1
-        if client.exchange:
-            self.refused[client] = trouble
-        else:
-            self.word(client, trouble)
-
-    def word(self, client, trouble):
+        exchange = client.exchange
+        if exchange:
+            exchange.client = None
+            self.desk.left(exchange)
         text = str(trouble).encode()
         client.answer(b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n" % (
             trouble.status, REASONS[trouble.status]), text)
@@ -360,12 +384,5 @@
 
     def out(self, exchange, head, body):
         client, exchange.client = exchange.client, None
-        if client is None:
-            return
-        trouble = self.refused.pop(client, None)
-        if trouble is None:
-            return client.answer(head, body)
-        # Behind the last answer comes the 4xx of what followed it on the same connection.
-        client.transport.write(b"%sContent-Length: %d\r\n\r\n%s" % (head, len(body), body))
-        client.exchange = None
-        self.word(client, trouble)
+        if client:
+            client.answer(head, body)
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+from math import isfinite
 
 import httptools
 import orjson
@@ -33,12 +34,13 @@
 class Link(asyncio.BufferedProtocol):
     """One connection to one app server. `exchange` is None for a probe."""
     __slots__ = ("pool", "target", "transport", "parser", "state", "exchange", "sent_at", "due", "timer",
-                 "task", "since", "whole", "keep", "body", "size", "not_run", "units", "load")
+                 "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "load")
 
     def __init__(self, pool, target):
         self.pool, self.target, self.state = pool, target, OPENING
         self.transport = self.parser = self.exchange = self.timer = self.task = None
         self.whole = False
+        self.fed = 0  # bytes of the present answer
 
     # ---- of the loop
 
@@ -77,15 +79,22 @@
             return
         if self.state == IDLE:
             return self.odd("spoke unasked")
-        trouble = None
+        first, trouble, bounds = not self.fed, None, self.pool.bounds
+        self.fed += size
         try:
             self.parser.feed_data(self.pool.buffer[:size])
+            if self.fed > (bounds.wire if self.headed else bounds.head):
+                # Guards against heads that never end, which the parser gathers until a field of them is whole.
+                trouble = "the answer never ends"
         except httptools.HttpParserUpgrade:
             trouble = "wants to upgrade"
         except httptools.HttpParserError as odd:
             trouble = str(odd.__context__ or odd)
         if self.whole:  # not within the parser's callback, where a fault of ours would pass for theirs
             self.conclude(trouble is None)
+        elif first and not trouble:
+            # Guards against lengths that do not fit: an answer that has begun does not wait for its txn's time.
+            self.wait(min(self.due, self.pool.clock() + bounds.answer_wait))
         if trouble:
             self.odd(trouble)
 
@@ -106,13 +115,16 @@
             raise ValueError("an answer too many")
         self.body, self.size, self.not_run, self.units, self.load = [], 0, False, 0, None
 
+    def on_headers_complete(self):
+        self.headed = self.parser.get_status_code() >= 200
+
     def on_header(self, name, value):
         if name[:1] in b"xX":
             name = name.lower()
             if name == b"x-not-run":
                 self.not_run = value.strip() == b"1"
-            elif name == b"x-cost-units" and value.isdigit() and len(value) < 10:
-                self.units = int(value)
+            elif name == b"x-cost-units":
+                self.units = units(value)
             elif name == b"x-load":
                 self.load = value
 
@@ -123,8 +135,8 @@
         self.body.append(part)
 
     def on_message_complete(self):
-        self.whole = self.parser.get_status_code() >= 200  # else the answer proper follows
-        self.keep = self.parser.should_keep_alive()  # true only in this callback
+        if self.headed:  # else it was a 1xx, and the answer proper follows
+            self.whole, self.keep = True, self.parser.should_keep_alive()  # true only in this callback
 
     def conclude(self, sound):
         self.whole = False
@@ -154,18 +166,23 @@
         left = self.due - (pool.clock() if new else self.sent_at)
         if left <= 0:
             return self.finish(t.UNSEEN)
-        if new and self.timer:
-            pool.timers.call_off(self.timer)
-        self.state = WAITING
+        self.state, self.fed, self.headed = WAITING, 0, False
         if exchange:
             self.transport.write(b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (
                 exchange.head, left // MS, exchange.body))
         else:
             self.transport.write(pool.probe_text)
-        self.timer = pool.timers.at(self.due, self.time_out)
+        self.wait(self.due)
+
+    def wait(self, due):
+        if self.timer:
+            self.pool.timers.call_off(self.timer)
+        self.timer = self.pool.timers.at(due, self.time_out)
 
     def time_out(self):
         self.timer = None
+        if self.state == WAITING and self.fed:
+            return self.odd("the answer does not go on")
         self.finish(t.TIMED_OUT if self.state == WAITING else t.UNSEEN)
 
     def finish(self, how, keep=False):
@@ -206,19 +223,39 @@
             shut(self.transport)
 
 
-def shut(transport):
+def units(text):
+    """What the answer says that its txn drew, or 0 for not told: what cannot be read does not say 'nothing'."""
+    try:
+        drawn = float(text) if len(text) < 16 and b"_" not in text else 0.0
+    except ValueError:
+        return 0
+    return drawn if isfinite(drawn) and 0.0 < drawn < 1e9 else 0
+
+
+def bare(transport, what):
+    """Does `what` with the socket itself, past the loop."""
     handle = transport.get_extra_info("socket")
-    if handle is not None and handle.fileno() >= 0:
-        twin = socket.socket(handle.family, socket.SOCK_STREAM, 0, handle.fileno())
-        try:
-            twin.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # it has ended by itself
-        finally:
-            twin.detach()
+    if handle is None or handle.fileno() < 0:
+        return None
+    twin = socket.socket(handle.family, socket.SOCK_STREAM, 0, handle.fileno())
+    try:
+        return what(twin)
+    except OSError:
+        return None  # it has ended by itself, or holds nothing
+    finally:
+        twin.detach()
+
+
+def shut(transport):
+    bare(transport, lambda twin: twin.shutdown(socket.SHUT_RDWR))
     transport.abort()
 
 
+def unread(transport):
+    """Whether something came, be it the end, that the loop has not read yet: it would pass for an answer."""
+    return bare(transport, lambda twin: twin.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)) is not None
+
+
 class Upstream:
     def __init__(self, loop, desk, bounds, reports, log):
         self.loop, self.desk, self.bounds, self.log, self.counts = loop, desk, bounds, log, log.counts
@@ -263,7 +300,7 @@
             return None
         while target.idle:
             link = target.idle.pop()
-            if not link.transport.is_closing():
+            if not link.transport.is_closing() and not unread(link.transport):
                 return link
             target.idle.append(link)
             link.close()
@@ -311,7 +348,7 @@
         if how == t.DONE and (body or link.load):
             try:
                 said = orjson.loads(body or link.load)
-                report = {k: v for k, v in said.items() if isinstance(v, (int, float)) and v >= 0}
+                report = {k: v for k, v in said.items() if type(v) in (int, float) and 0 <= v < 1e9}
             except (ValueError, AttributeError):
                 if self.reports:
                     self.log.note("odd report", link.target.uid)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -164,7 +164,7 @@
             self.stage.call_later(0.001, lambda: self.closed or self.feed("+PONG\r\n"))
 
     def get_extra_info(self, name):
-        return None
+        return self.stage.sockets.get(self.name)
 
     def is_closing(self):
         return self.closed
@@ -209,6 +209,7 @@
         self.beats = True  # whether discovery beats and the counter answers a PING
         self.now, self.number, self.handles, self.lines = 0, 0, [], []
         self.opening, self.ends, self.ways, self.pipes, self.signals = [], [], {}, {}, {}
+        self.sockets = {}  # of a party, where a test gives it a real one
         told = config(servers, **settings)
         told["limits"].update(limits or {})
         launch = read(told, {})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+from dataclasses import replace
 import signal
 import socket
 
@@ -14,7 +15,7 @@
 from rampfront.net import launch
 from rampfront.net.desk import Clock
 from rampfront.net.log import Log
-from rampfront.net.upstream import shut
+from rampfront.net.upstream import shut, units, unread
 
 
 def test_pool():
@@ -141,12 +142,73 @@
     s.check("malformed")
 
 
+def test_bad_clients():
+    """The id of a txn that is open, an endless head, lengths that lie, both framings: each is turned away at
+    once, and nothing of it reaches an app server. Silent connections end, usual idle ones later."""
+    s = Stage()
+    s.ask(1)
+    s.ask(1, client="twin", product="publish")
+    s.ask(2, client="b", product="ledger", more="Content-Length: 60000000\r\n")
+    s.ask(3, client="b", product="ledger", more="Content-Length: -5\r\n")
+    s.ask(4, client="b", product="ledger", more="Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
+    s.ask(5, client="b", more="Content-Length: 3\r\n\r\nyes")
+    for part in range(6):
+        s.client("b").feed("GET /api HTTP/1.1\r\nX: " + "x" * 20000 if part == 0 else "x" * 20000)
+    s.ask(6, client="b", X_Call_Terms="units=1,spread=2,first=2")
+    s.ask(7, client="b", X_Call_Terms="units=nan,spread=2,first=1")
+    s.ask(8, client="b", Cookie="key=0000000200000000")
+    s.ask(9, client="b", X_Deadline_Ms="999999999")
+    s.reply("s0")
+    s.say("answered: its id may come again; a client that left frees it too")
+    s.ask(1)
+    s.pipes["a"].cut()
+    s.ask(1, client="c")
+    s.reply("s0")
+    s.client("silent")
+    s.client("slow").feed("GET /api HTTP/1.1\r\n")
+    s.wait(6000)
+    s.check("bad_clients")
+
+
+def test_bad_app_servers():
+    """A spoilt answer is one failed submission that may have run, in time to try again; a good one is served,
+    whatever stands in front of, behind or beside it, and nothing left over answers another txn."""
+    s = Stage(servers=2)
+    good = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+    ledger = {"product": "ledger", "client": "b"}
+    for text in ("HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " + "x" * 200000, "\x00\x01\r\n\r\n",
+                 good + "Content-Length: 3\r\n\r\nyes", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + "x" * 70000,
+                 good + "\r\nno", "HTTP/1.1 103 Hints\r\n\r\n" * 1000):
+        s.ask(1, **ledger)
+        s.pipes[s.out()].feed(text)
+        s.wait(200)
+    s.say("good ones")
+    for text in (good + "\r\nyes" + good + "\r\nyes", good + "\r\nyes\x00\x01",
+                 "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n" + good + "\r\nyes",
+                 good + "X-Load: %%\r\nX-Cost-Units: ?\r\n\r\nyes", good + "X-Cost-Units: 1.5\r\n\r\nyes"):
+        s.ask(2, **ledger)
+        s.pipes[s.out()].feed(text)
+    s.say("bytes that the loop has not read yet: another connection")
+    s.sockets[s.last], far = socket.socketpair()
+    far.send(b"left over")
+    s.ask(3, **ledger)
+    s.pipes[s.out()].feed(good + "\r\nyes")
+    s.counts("connects", "odd_answers", "settled", "voided")
+    assert [units(text) for text in (b"2", b"1.5", b"nan", b"-1", b"1_0", b"1e99", b"", b"?")] == [
+        2, 1.5, 0, 0, 0, 0, 0, 0]
+    s.check("bad_app_servers")
+
+
 def test_pipelined_and_half():
-    """The txn taken is answered, what was pipelined behind it refused; half a txn is given up."""
+    """Bytes behind a txn refuse it whole: called off where they come later, never sent on where they come with
+    it; half a txn is given up."""
     s = Stage()
     s.ask(1)
     s.ask(2)
+    s.ask(3, client="c", product="ledger", more="Content-Length: 2\r\n", body="")
+    s.client("c").feed("no")
     s.reply("s0")
+    s.ask(4, client="d", product="ledger", more="Content-Length: 2\r\n\r\nnot two")
     s.client("b").feed("POST /api HTTP/1.1\r\nX-Req")
     s.wait(11500)
     s.check("pipelined")
@@ -164,14 +226,20 @@
 
 def test_crowd():
     """At the descriptors' limit idle ones go first; with none idle the newest are turned away."""
-    s = Stage(servers=16, limits={"sockets": 128})
-    for k in range(16):
+    s = Stage(servers=22, limits={"sockets": 128})
+    s.desk.upstream.bounds = replace(s.desk.upstream.bounds, links=22)
+    for k in range(22):
         s.ask(k, client=f"c{k}")
     s.lines.clear()
-    s.ask(16, client="late")
+    s.ask(22, client="late")
     s.say("an idle one makes room; so it goes with connections to app servers")
     s.reply("s3")
-    s.ask(17, client="later")
+    s.ask(23, client="later")
+    s.say("hundreds that say nothing make room before an idle one, and are closed in the end")
+    s.reply("s4")
+    for k in range(8):
+        s.wait(110)
+        s.client(f"silent{k}")
     s.counts("clients_shed", "turned_away", "links_shed", "links_short")
     s.check("crowd")
 
@@ -179,9 +247,11 @@
 def test_counter():
     """Answers in order, a time-out of our own, late answers dropped, a silent connection replaced."""
     s = Stage()
+    s.ask(0, plan="held")
+    s.reply("s0")
     s.ask(1, plan="held")
     s.wait(80)
-    s.pipes["counter"].feed("$1\r\n1\r\n")
+    s.pipes["counter"].feed("$1\r\n2\r\n")
     s.say("times out; its late answer is dropped, the next one counts")
     for k in range(2, 5):
         s.reply("s0")
@@ -193,8 +263,14 @@
     s.say("silent: replaced")
     s.beats = False
     s.wait(2700)
-    s.say("an answer that is none")
-    s.pipes["counter"].feed("HTTP/1.1 400 Bad\r\n")
+    s.say("answers that are none, at once; one that has begun and does not go on")
+    for k, text in enumerate(("HTTP/1.1 400 Bad\r\n", "\x00\x01", "$3\r\nnan\r\n", "$3\r\n1_0\r\n", "$1\r\n12345",
+                              "$-1\r\n", "$90\r\n1.")):
+        s.desk.counter.add(50 + k, 1, 10 ** 9)
+        s.pipes["counter"].feed(text)
+    s.wait(300)
+    s.desk.counter.add(60, 1, 10 ** 9)
+    s.pipes["counter"].feed(":12\r\n")
     s.counts("adds", "adds_timed_out", "adds_refused", "counter_connects")
     s.check("counter")
 
@@ -204,10 +280,11 @@
     reading is not kept waiting, for an account unread is held to its split of the quota."""
     for wakes in (False, True):
         s = Stage()
-        s.ask(1, plan="held")
-        s.reply("s0")
+        for txn in (0, 1):
+            s.ask(txn, plan="held")
+            s.reply("s0")
         s.wait(60)
-        s.pipes["counter"].feed("$1\r\n1\r\n")
+        s.pipes["counter"].feed("$1\r\n2\r\n")
         s.ask(2, plan="held")
         s.reply("s0")
         for k in range(140):
@@ -282,6 +359,8 @@
     """SIGHUP: new addresses at once, no txn touched, each call to the counter written once and to one place;
     a faulty file is named and changes nothing."""
     s = Stage()
+    s.ask(0, plan="held")
+    s.reply("s0")
     s.ask(1, plan="held")
     s.wait(80)
     s.say("faulty, then unchanged, then moved with a txn and a call out")
@@ -371,7 +450,8 @@
 
 
 def test_shut_at_once(loop):
-    """Rule 2 on the real loop: the far side sees the end now, before a second copy can be on its way."""
+    """Rule 2 on the real loop: the far side sees the end now, before a second copy can be on its way. And what
+    waits unread on an idle connection is seen before that is used again."""
     listener = socket.create_server(("127.0.0.1", 0))
     ours, _ = loop.run_until_complete(loop.create_connection(asyncio.Protocol, *listener.getsockname()))
     far, _ = listener.accept()
@@ -381,6 +461,13 @@
     shut(ours)
     assert far.recv(1) == b""
     far.close()
+    ours, _ = loop.run_until_complete(loop.create_connection(asyncio.Protocol, *listener.getsockname()))
+    far, _ = listener.accept()
+    assert not unread(ours)
+    far.send(b"left over")
+    assert unread(ours)  # the loop has not had a turn to read it
+    ours.abort()
+    far.close()
     listener.close()
 
 
