An app server that is ill by itself leaves the limits alone and is no resort when others are full

Ruled out by a trace of how submissions ended and of what the module believed: the counter and the quotas (declines with reason "sent" and "no room"), and a late list (it came when discovery told it). At fault: Node.choose took `sound or pool`, so once the sound ones were full the doubtful were the pool, and were held against each other alone; Node.judge let every refused connect shrink the limit at all app servers, which made the sound ones full sooner.

Also covers hangs and fast errors of a few. Harm: with nearly all ill at once the sound few are full and txns are declined that a doubtful one might have settled.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -86,7 +86,7 @@
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
         self.ref, self.spare = 0, SPARE_MOST
-        self.up, self.each = [], 0.0  # those listed as up; fading count of what a warm one settled for us
+        self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
         self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
@@ -195,17 +195,17 @@
 
     def choose(self, txn):
         """One app server drawn at random, odds in step with the room it is thought to have."""
-        pool = [(s, room) for s in self.lawful(txn) if (room := self.room(s)) > 0] if self.fits() else []
-        pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
-        if not pool:
-            return None
-        sure = sum(self.odds(s) for s, _ in pool) / len(pool)
+        some = self.lawful(txn) if self.fits() else []
+        self.sure = sum(map(self.odds, some)) / len(some) if some else self.sure
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
-        # success, held against their peers', so when all fail alike none is condemned. Harm: a few lost txns.
-        sound = [(s, room) for s, room in pool
-                 if s.lost < 1 or self.odds(s) > 0.9 * sure or self.beta(s.won + 1, s.lost + 1) > 0.9 * sure]
-        pool = sound or pool
-        return self.pick([s for s, _ in pool], [room for _, room in pool])[0]
+        # success, held against the others', so when all fail alike none is condemned. Harm: a few lost txns.
+        pool = [(s, room) for s in some if (room := self.room(s)) > 0
+                and (not self.doubtful(s) or self.beta(s.won + 1, s.lost + 1) > 0.9 * self.sure)]
+        pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
+        return self.pick([s for s, _ in pool], [room for _, room in pool])[0] if pool else None
+
+    def doubtful(self, server):
+        return server.lost >= 1 and self.odds(server) <= 0.9 * self.sure
 
     def fits(self):
         """Guards against many nodes that each have little room and fill the fleet together: limits hold in
@@ -501,14 +501,15 @@
     def judge(self, server, txn, told):
         line, done = txn.line, told.how == t.DONE
         self.fade(server)
-        rest = 1.0 - self.known(server)
+        rest = 0.0 if self.doubtful(server) else 1.0 - self.known(server)
         server.won, server.lost = server.won + done, server.lost + (not done)
         if done:
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
         if line.mean and (done or told.how == t.TIMED_OUT):
             server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
         if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
-            # Guards against piling work on an app server that no longer keeps up, whatever slows it.
+            # Guards against piling work on app servers that no longer keep up, whatever slows them. One
+            # that is ill by itself is left out, and tells nothing of the others.
             self.limit = max(0.25 * self.start, self.limit * (1.0 - 0.2 * rest))
         elif done and self.saved < REACH:
             self.limit += rest * GROWTH * self.start * self.start / self.limit
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -203,6 +203,27 @@
     p.check("fast_failure")
 
 
+def test_ill_by_itself():
+    """One app server that refuses every connect costs the limits of the others nothing, and is no resort once
+    they are full: what finds no room is declined at once."""
+    p = Play(servers=3, has_counter=False, nodes=1)
+    to, full = [0, 0, 0], 0
+    for k in range(400):
+        p.arrive(k, account=f"e{k}")
+        while k in p.node.txns and (server := p.sent_to()) == 0:
+            to[0] += 1
+            p.end(k, t.UNSEEN, 0, 0)
+        if k in p.node.txns:
+            to[server] += 1
+        p.wait(20)
+        if k % 40 == 39:
+            full += p.node.servers[1].out + p.node.servers[2].out
+            for txn in list(p.node.txns):
+                p.end(txn, server=p.node.txns[txn].last)
+    p.lines = [f"sent: {to}", f"limit {p.node.limit / p.node.start:.2f} of its start", f"out when full: {full}"]
+    p.check("ill_by_itself")
+
+
 def test_full_fleet():
     """Limits below one hold in sum and on average: savings first, then declines at once, then room comes back."""
     p = Play(servers=4, nodes=16)
