What a quota has earned since a burst is let in by fresh counts

Seen: after the ceiling, most declines with quota unused were the window's, with fresh readings: a customer that used its burst of 14 (limit 21) was declined for five seconds, in which its quota earned 15 more. Ruled out by a probe that counted the reasons: room, ceiling and stale readings were few beside it. At fault: Node.within, whose window forgets a burst only as it slides by.

Changed: each account's ledger also knows what is left of its quota by our counts and the totals (`refill`): it earns the plan's rate up to the burst, is debited what we send on and what totals show of the others, and between totals the others' even part of the rate. A txn beyond the window is let in while that covers it. The window still decides first; the exception acts only behind a total.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -56,7 +56,7 @@
         self.rate, self.burst, self.cap = plan.rate, plan.burst, plan.at_once
         self.fill, self.depth = plan.ceiling_rate, plan.ceiling_depth
         self.window = max(SEC, int(WINDOW * plan.burst / plan.rate * SEC)) if plan.rate > 0 else 0
-        self.limit = plan.rate * self.window / SEC
+        self.limit, self.keep = plan.rate * self.window / SEC, 3 * self.window  # and how long a count is kept
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
         # a thin account has more nodes than its limit has txns; its count at most, its fading, a name's life
         self.most, self.thin_past = plan.burst or plan.at_once, (self.limit or plan.at_once or inf) / typical
@@ -152,6 +152,7 @@
             ledger = txn.account.rate
             self.roll(ledger)
             ledger.now.own += told.true_units - txn.units  # a credit nets against later growth, see `flush`
+            self.refill(ledger, told.true_units - txn.units)
         seen = SEEN.get(told.how, RISKY)
         if seen == RISKY and txn.risk_at is None:
             txn.risk_at = self.now - told.took
@@ -180,8 +181,7 @@
         unknown, costs = account.thin and not txn.told, account.quota.costs
         return not (unknown and (costs < 1.0 or self.roomy(costs)))
 
-    def unread(self, txn):
-        """Whether a txn waits for its account's count; while calls fail, by chance."""
+    def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
         return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
                 and self.random() * sqrt(self.stretch) < 1.0 and self.mark(CALL))
 
@@ -193,8 +193,7 @@
         worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
         return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
-    def choose(self, txn):
-        """One app server drawn at random, odds in step with the room it is thought to have."""
+    def choose(self, txn):  # one app server drawn at random, odds in step with the room it is thought to have
         some = self.lawful(txn) if self.fits() else []
         self.sure = sum(map(self.odds, some)) / len(some) if some else self.sure
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
@@ -285,7 +284,7 @@
             thin = self.counts and nodes > quota.thin_past
             if quota.rate > 0 and not thin:
                 number = now // quota.window
-                rate = Ledger(key, quota.window, quota.limit, nodes, now, Window(number), Window(number - 1))
+                rate = Ledger(key, quota, nodes, now, Window(number), Window(number - 1))
             # Guards against a restart that fills the ceiling again: our share counts as spent at our start.
             account = self.accounts[key] = Account(key, quota, nodes, now, rate, self.began, thin)
             self.remind(quota.idle, self.retire, account)
@@ -294,11 +293,11 @@
 
     def roll(self, ledger):
         """Ages windows out; returns the past window's weight, one minus the elapsed share of this one."""
-        number, last = self.now // ledger.length, ledger.now
+        number, last = self.now // ledger.quota.window, ledger.now
         if number != last.number:
             ledger.past = last if number == last.number + 1 else Window(number - 1)
             ledger.now = Window(number)
-        return 1.0 - (self.now % ledger.length) / ledger.length
+        return 1.0 - (self.now % ledger.quota.window) / ledger.quota.window
 
     def retire(self, account):
         idle = self.now - account.used_at
@@ -322,14 +321,21 @@
             if not self.fresh(ledger):
                 # Guards against a counter that is silent, slow or crowded: the others go on as last read, and
                 # leave us our fair share. Harm: a customer that moved here waits for the next reading.
-                fair = ledger.limit - account.quota.burst / ledger.nodes
+                fair = ledger.quota.limit - account.quota.burst / ledger.nodes
                 others = max(others, min(ledger.others, fair)) if own > 0 else 0.0
-            if own + others + units > ledger.limit + 1e-9:
+            # Guards against a window that remembers a burst longer than the quota does: by fresh counts, what
+            # filled up again since is let in, less the others' even part from the last total on.
+            unseen = (1.0 - 1.0 / ledger.nodes) * account.quota.rate * (self.now - ledger.read_at) / SEC
+            if own + others + units > ledger.quota.limit + 1e-9 and self.refill(ledger) - unseen < units:
                 return False
         return account.quota.cap <= 0 or self.below_cap(account)
 
-    def below_cap(self, account):
-        """A cap on submissions out at once, by the epoch's last total; with none of ours out, one may try."""
+    def refill(self, ledger, taken=0.0):  # what of the quota is left, by our counts and the totals
+        gain = (self.now - ledger.spare_at) / SEC * ledger.quota.rate
+        ledger.spare, ledger.spare_at = min(ledger.quota.burst, ledger.spare + gain) - taken, self.now
+        return ledger.spare
+
+    def below_cap(self, account):  # by the epoch's last total; with none of ours out, one may try
         others = account.level if self.now - account.level_at < LEVEL_FRESH else 0.0
         if self.counter != WELL:  # nobody can be read: a fair share
             others = account.quota.cap * (1 - 1 / account.nodes) - 0.5 if account.out else 0.0
@@ -350,7 +356,8 @@
         ledger = account.rate
         if ledger and txn.inside:
             ledger.now.own += txn.units
-            if ledger.now.own - ledger.now.sent > EARLY * ledger.limit / ledger.nodes:
+            self.refill(ledger, txn.units)
+            if ledger.now.own - ledger.now.sent > EARLY * ledger.quota.limit / ledger.nodes:
                 self.flush(ledger, ledger.now)
         if account.quota.cap > 0 and not account.thin and self.mark(CALL):
             txn.name = self.book(account)[0]
@@ -370,15 +377,13 @@
             txn.count = max(0.0, told.total / txn.scale - txn.units) * sqrt(self.stretch) + txn.units
             self.step(txn, READ)
 
-    def give_back(self, txn):
-        """What was declined goes out of the count again, and under a cap what has ended."""
+    def give_back(self, txn):  # what was declined goes out of the count again, and under a cap what has ended
         exact = txn.account.quota.rate <= 0  # a cap
         chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
         if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
             self.call(txn.name, -round(txn.units * txn.scale / chance, 4), SEC, self.on_level, txn.account)
 
-    def book(self, account):
-        """The name of an account's one count and its age; names turn at moments spread over the accounts."""
+    def book(self, account):  # the name of an account's one count, and its age; they turn at spread moments
         life = account.quota.life
         number, age = divmod(self.now + self.name(account.key, "turn") % life, life)
         return self.name(account.key, number), age
@@ -404,14 +409,12 @@
         if self.now - ledger.used_at < TICK * self.stretch or ledger.now.doubt or ledger.now.flying:
             self.arm(ledger, TICK)
 
-    def flush(self, ledger, window):
-        """Adds what has grown since the last successful add; the first add is also the first reading."""
+    def flush(self, ledger, window):  # adds what has grown since the last add; the first also reads
         grown = window.own - window.sent - window.doubt
         asks = window is ledger.now and not self.fresh(ledger)  # the others' part is not known
         if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
             amount = window.flying = max(0.0, round(grown, 4))
-            name = self.name(ledger.key, window.number)
-            self.call(name, amount, 3 * ledger.length, self.on_total, ledger, window)
+            self.call(self.name(ledger.key, window.number), amount, ledger.quota.keep, self.on_total, ledger, window)
 
     def call(self, name, amount, life, what, *about):
         self.calls.setdefault(name, []).append((what, about))  # answers for a name come in the order of calls
@@ -438,18 +441,18 @@
             landed = told.total - window.sent - amount - window.doubt >= window.held - slack
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
-        window.held = max(window.held, told.total - window.sent)
+        grown, window.held = window.held, max(window.held, told.total - window.sent)
         window.seen, ledger.read_at = told.total, self.now
         left, account = self.roll(ledger), self.accounts.get(ledger.key)
         ledger.others = ledger.now.held + ledger.past.held * left
+        self.refill(ledger, window.held - grown)
         if account and account.quota.fill > 0 and not account.quota.pays:
             # Guards against a ceiling that leaves a customer an even split, or nothing at our start: our part
             # of what the totals leave of its depth is ours until the next total. A flood is told early.
             room = account.quota.depth - ledger.others - ledger.now.own - ledger.past.own * left
             account.store = max(self.store(account), room / account.nodes)
 
-    def mark(self, seen):
-        """Reads the counter's table; tells whether a call may be made."""
+    def mark(self, seen):  # reads the counter's table; tells whether a call may be made
         then, effect = COUNTER[self.counter, seen]
         verdict = effect(self) if self.counts else None
         self.counter = then if verdict else self.counter
@@ -463,14 +466,12 @@
         self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.25)
         return True if self.failures >= SICK_AFTER else None
 
-    def trial(self):
-        """Guards against a surge of calls on a counter just back: few, until one is answered."""
+    def trial(self):  # guards against a surge of calls on a counter just back: few, until one is answered
         due = self.now >= self.trial_at
         self.trial_at = self.now + int(TRIAL_GAP * sqrt(self.stretch)) if due else self.trial_at
         return due or None
 
-    def ready(self, server):
-        """The least share of its capacity that an app server can have, by its age."""
+    def ready(self, server):  # the least share of its capacity that an app server can have, by its age
         age = min(1.0, (self.now - server.born) / self.warm_within) if server.born else 1.0
         return 1.0 - (1.0 - self.cold) * (1.0 - age)
 
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -19,15 +19,14 @@
 
 @slotted
 class Ledger:
-    """Counts of one account against one limit: windows of `length`, told every tick."""
+    """Counts of one account against one limit: windows of the quota's length, told every tick."""
     key: str
-    length: int
-    limit: float
+    quota: object
     nodes: int
     used_at: int
     now: Window
     past: Window
-    spare: float = inf  # what may still be let in at once, by our own and the others' known part
+    spare: float = inf  # what the quota has left, by our own and the others' known part; below 0 a debt
     spare_at: int = 0
     read_at: int = -10 ** 18  # long ago
     others: float = inf  # the others' part as it was then; not read yet: all that it may be
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -20,6 +20,24 @@
     p.check("window")
 
 
+def test_quota_refills():
+    """After a burst the window is full for long; what the quota has earned since is let in by fresh counts, less
+    what the others used of it."""
+    for others in (0, 6):
+        p, totals = Play(), {}
+        p.say(f"a burst, then a try each half second; {others} units of others meanwhile")
+        for k in range(-16, 14):
+            if k >= 0:
+                p.wait(500)
+            p.serve([20 + k])
+            while p.adds:
+                name = p.adds[0].name
+                totals[name] = totals.get(name, 0) + p.adds[0].amount
+                p.count(totals[name] + (others if k > 5 else 0))
+        p.lines = [line for line in p.lines if "adds" not in line]
+        p.check(f"quota_refills_{others}")
+
+
 def test_true_units():
     """A lower true figure nets against later growth: adds never fall."""
     p = Play()
