Ceilings lift less while calls fail; quick answers of the counter shorten the stretch

At fault: the room in Node.on_total.

At fault: Node.strain and Node.calm, which did not look at the time a call took. Changed: an answer within a quarter of the wait takes a tenth off, and only a call that was turned away or waited in full adds to it. The breaker is as before.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -20,6 +20,7 @@
 EARLY = 0.25  # part of its share of the limit past which an edge node's grown count is added before the tick
 STALE = 3  # a reading older than this many ticks no longer bounds what the others sent on
 STRETCH = 24  # longest tick, in ticks, while the counter is crowded
+QUICK = 0.25  # part of a call's wait within which its answer tells of no crowd
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 FADES = 10  # life of a thin account's count, in times that it takes to fade
@@ -84,12 +85,11 @@
         self.accounts = {}  # emptied when idle for two windows, by `retire`
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
-        self.counter, self.failures, self.trial_at, self.stretch = WELL, 0, 0, 1.0
+        self.counter, self.failures, self.trial_at, self.stretch, self.took = WELL, 0, 0, 1.0, 0
         self.ref, self.spare = 0, SPARE_MOST
         self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
-        self.free, self.looked_at = 0.0, 0  # room that the limits leave, in submissions
-        self.saved, self.saved_at = REACH, now  # room left free lately, in submissions times seconds
+        self.free, self.looked_at, self.saved, self.saved_at = 0.0, 0, REACH, now  # room, and its savings
 
     def begin(self, now):
         return self.take(now, None)
@@ -121,8 +121,7 @@
         for row in [row for row in told.rows if row.state != t.REMOVED]:
             server = self.servers.setdefault(row.server, Server(row.server))
             if row.came_up != server.born:  # another process: what was known of the old one is void
-                server.won = server.lost = 0.0
-                server.pace, server.turn_at = 1.0, 0
+                server.won, server.lost, server.pace, server.turn_at = 0.0, 0.0, 1.0, 0
             server.state, server.born = row.state, row.came_up
             server.zone, server.cell = row.zone, row.cell
         self.up = [s for s in self.servers.values() if s.state == t.UP]
@@ -207,8 +206,7 @@
         return server.lost >= 1 and self.odds(server) <= 0.9 * self.sure
 
     def fits(self):
-        """Guards against many nodes that each have little room and fill the fleet together: limits hold in
-        sum and on average. What was left free is saved up, to REACH, and what is over is spent."""
+        """Guards against many nodes that fill the fleet together: limits hold in sum, or by savings."""
         self.look()
         return self.free >= 1.0 or self.saved > 0.0
 
@@ -256,9 +254,8 @@
         if not txn.sent:
             self.count(txn)
         txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
-        server.out, self.free = server.out + 1, self.free - 1.0
+        server.out, server.slots, self.free = server.out + 1, server.slots - 1, self.free - 1.0
         txn.account.out += 1
-        server.slots -= 1
         if txn.risk_at is None:
             txn.risk_zone, txn.risk_cell = server.zone, server.cell
         left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
@@ -316,8 +313,7 @@
         if ledger := account.rate:
             self.hasten(ledger, account.quota.fill > 0)
             left = self.roll(ledger)
-            own = ledger.now.own + ledger.past.own * left
-            others = ledger.now.held + ledger.past.held * left
+            own, others = ledger.now.own + ledger.past.own * left, ledger.now.held + ledger.past.held * left
             if not self.fresh(ledger):
                 # Guards against a counter that is silent, slow or crowded: the others go on as last read, and
                 # leave us our fair share. Harm: a customer that moved here waits for the next reading.
@@ -364,8 +360,7 @@
             self.call(txn.name, 1, EPOCH, self.on_level, account, txn)
 
     def ask_first(self, txn, found):
-        """The one txn that is held, until the counter answers or times out: a node that sees an account once
-        a window has no reading in time. Adds grow as fast as counts fade, so one total tells all."""
+        """The one txn held for the counter. Adds grow as fast as counts fade, so one total tells all."""
         quota = txn.account.quota
         txn.name, age = self.book(txn.account)
         txn.scale = sqrt(self.stretch) * exp(age / quota.fade)  # the few that ask stand for all
@@ -414,7 +409,8 @@
         asks = window is ledger.now and not self.fresh(ledger)  # the others' part is not known
         if window.flying is None and (grown > 1e-6 or window.doubt or asks) and self.mark(CALL):
             amount = window.flying = max(0.0, round(grown, 4))
-            self.call(self.name(ledger.key, window.number), amount, ledger.quota.keep, self.on_total, ledger, window)
+            name = self.name(ledger.key, window.number)
+            self.call(name, amount, ledger.quota.keep, self.on_total, ledger, window)
 
     def call(self, name, amount, life, what, *about):
         self.calls.setdefault(name, []).append((what, about))  # answers for a name come in the order of calls
@@ -425,6 +421,7 @@
             what, about = waiting.pop(0)
             if not waiting:
                 del self.calls[told.name]
+            self.took = self.call_wait if told.how == t.UNSEEN else told.took
             self.mark(ANSWER if told.how == t.DONE else FAILURE)
             what(told, *about)
 
@@ -442,15 +439,16 @@
             window.sent += amount + (window.doubt if landed else 0.0)
             window.doubt = 0.0
         grown, window.held = window.held, max(window.held, told.total - window.sent)
-        window.seen, ledger.read_at = told.total, self.now
+        known, window.seen, ledger.read_at = self.fresh(ledger), told.total, self.now
         left, account = self.roll(ledger), self.accounts.get(ledger.key)
         ledger.others = ledger.now.held + ledger.past.held * left
         self.refill(ledger, window.held - grown)
         if account and account.quota.fill > 0 and not account.quota.pays:
             # Guards against a ceiling that leaves a customer an even split, or nothing at our start: our part
-            # of what the totals leave of its depth is ours until the next total. A flood is told early.
-            room = account.quota.depth - ledger.others - ledger.now.own - ledger.past.own * left
-            account.store = max(self.store(account), room / account.nodes)
+            # of what totals leave of its depth, a past window not read taken as full, less while calls fail.
+            past = ledger.past.held + ledger.past.own if known else account.quota.limit
+            room = account.quota.depth - ledger.now.held - ledger.now.own - past * left
+            account.store = max(self.store(account), room / account.nodes / self.stretch)
 
     def mark(self, seen):  # reads the counter's table; tells whether a call may be made
         then, effect = COUNTER[self.counter, seen]
@@ -458,12 +456,14 @@
         self.counter = then if verdict else self.counter
         return verdict
 
-    def calm(self):
-        self.failures, self.stretch = 0, max(1.0, self.stretch * 0.99)
+    def calm(self):  # answers that did not wait tell that it bears more calls
+        self.failures = 0
+        self.stretch = max(1.0, self.stretch * (0.9 if self.took < QUICK * self.call_wait else 0.99))
         return True
 
-    def strain(self):
-        self.failures, self.stretch = self.failures + 1, min(STRETCH, self.stretch * 1.25)
+    def strain(self):  # a break or a spoilt answer tells nothing of a crowd
+        self.failures += 1
+        self.stretch = min(STRETCH, self.stretch * 1.25) if self.took >= self.call_wait else self.stretch
         return True if self.failures >= SICK_AFTER else None
 
     def trial(self):  # guards against a surge of calls on a counter just back: few, until one is answered
