--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -440,14 +440,14 @@
             window.doubt = 0.0
         grown, window.held = window.held, max(window.held, told.total - window.sent)
         known, window.seen, ledger.read_at = self.fresh(ledger), told.total, self.now
-        left, account = self.roll(ledger), self.accounts.get(ledger.key)
+        left, account, quota = self.roll(ledger), self.accounts.get(ledger.key), ledger.quota
         ledger.others = ledger.now.held + ledger.past.held * left
         self.refill(ledger, window.held - grown)
-        if account and account.quota.fill > 0 and not account.quota.pays:
+        if account and quota.fill > 0 and not quota.pays:
             # Guards against a ceiling that leaves a customer an even split, or nothing at our start: our part
-            # of what totals leave of its depth, a past window not read taken as full, less while calls fail.
-            past = ledger.past.held + ledger.past.own if known else account.quota.limit
-            room = account.quota.depth - ledger.now.held - ledger.now.own - past * left
+            # of what totals leave of its depth, less what the others may not have told, and while calls fail.
+            past = ledger.past.held + ledger.past.own if known else quota.limit  # or as full
+            room = quota.depth - ledger.now.held - ledger.now.own - past * left - EARLY * quota.limit
             account.store = max(self.store(account), room / account.nodes / self.stretch)
 
     def mark(self, seen):  # reads the counter's table; tells whether a call may be made
