A time-out shrinks the limits only as far as other answers are late too

A probe of the reasons: "no room" for 163 of 395 arrivals in 3 s at one node; 50 submissions of 211 timed out, none came late. Ruled out: quotas and ceiling (18 declines), the counter (21 to 34% turned away, readings mostly fresh), sickness of single app servers (odds alike, 0.86 to 0.91). So one answer in four was lost, each held its place for its whole SLA time (out stood at 1 everywhere), and Node.judge shrank the limits for it as for a crowd, which never let them grow to make up for the places that nothing used.

Changed: Node.judge keeps the part of submissions lately back in time (`prompt`), and a time-out shrinks the limits only by the rest. Harm: for about twenty submissions after a sudden hang of all, limits shrink more slowly.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -86,7 +86,7 @@
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch, self.took = WELL, 0, 0, 1.0, 0
-        self.ref, self.spare = 0, SPARE_MOST
+        self.ref, self.spare, self.prompt = 0, SPARE_MOST, 0.0  # the part of submissions lately back in time
         self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at, self.saved, self.saved_at = 0.0, 0, REACH, now  # room, and its savings
@@ -169,8 +169,7 @@
     def always(self, txn=None):
         return True
 
-    def beyond(self, txn):
-        """The design's refusal. A plan whose excess earns more than it costs is let in while room lasts."""
+    def beyond(self, txn):  # the design's refusal; where excess earns more than it costs, by room
         account = txn.account
         known = account.thin and txn.told and txn.count <= account.quota.most + 1e-6
         txn.inside = known if account.thin else self.within(account, txn.units)
@@ -187,8 +186,7 @@
     def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
         return txn.risk_at is None or txn.line.harmless
 
-    def again(self, txn):
-        """A further submission: out of savings, so that trouble everywhere starts no storm, while it pays."""
+    def again(self, txn):  # a further submission: while it pays, out of savings, so that no storm starts
         worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
         return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
@@ -508,15 +506,17 @@
             line.mean += 0.03 * (told.took - line.mean) if line.mean else told.took
         if line.mean and (done or told.how == t.TIMED_OUT):
             server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
-        if told.took > SLOW * line.sla or told.how in (t.UNSEEN, t.TIMED_OUT):
-            # Guards against piling work on app servers that no longer keep up, whatever slows them. One
-            # that is ill by itself is left out, and tells nothing of the others.
+        late = told.took > SLOW * line.sla
+        self.prompt += 0.05 * ((done and not late) - self.prompt)
+        if late or told.how in (t.UNSEEN, t.TIMED_OUT):
+            # Guards against piling work on app servers that no longer keep up, whatever slows them. One ill
+            # by itself tells nothing of the others, nor an answer lost while the rest come in time.
+            rest *= 1.0 - self.prompt if told.how == t.TIMED_OUT else 1.0
             self.limit = max(0.25 * self.start, self.limit * (1.0 - 0.2 * rest))
         elif done and self.saved < REACH:
             self.limit += rest * GROWTH * self.start * self.start / self.limit
 
-    def on_probed(self, told):
-        """Guards against hangs, and tells of the load that others bring; a good probe proves no more."""
+    def on_probed(self, told):  # guards against hangs, and tells of the load that others bring
         server = self.servers.get(told.server)
         if server and told.how == t.DONE:
             server.load = 1.0 + told.report.get("inflight", told.took / (50 * MS))
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -58,7 +58,7 @@
         self.front = front
         self.exchange = None  # the txn that is owed an answer
         self.begun = self.whole = self.deaf = self.over = self.stuck = self.crowded = False
-        self.keep = self.fresh = True  # fresh: it has brought no whole txn yet
+        self.keep = self.fresh = True  # fresh: it has brought nothing whole yet
 
     def connection_made(self, transport):
         self.transport = transport
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -242,6 +242,21 @@
     p.check("ill_by_itself")
 
 
+def test_answers_lost():
+    """One answer in four never comes back while the rest come in time: limits must not shrink by it, or what is
+    lost holds the room. Where nearly all time out, they do."""
+    for lost in (4, 1):
+        p = Play(servers=3, has_counter=False, nodes=1)
+        for k in range(200):
+            p.arrive(k, account=f"e{k}")
+            if k in p.node.txns:
+                how = t.TIMED_OUT if k % lost == 0 else t.DONE
+                p.end(k, how, p.node.txns[k].last, 1000 if how == t.TIMED_OUT else 50, final=True)
+            p.wait(5)
+        p.lines = [f"1 of {lost} lost: limit {p.node.limit / p.node.start:.2f} of its start"]
+        p.check(f"answers_lost_{lost}")
+
+
 def test_full_fleet():
     """Limits below one hold in sum and on average: savings first, then declines at once, then room comes back."""
     p = Play(servers=4, nodes=16)
