--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -22,7 +22,8 @@
     line: int = 4 << 20  # bytes of a line of the server list
     chunk: int = 64 << 10  # the one buffer that all connections are read into
     margin: int = 5 * MS  # an answer is out this long before its client gives up
-    client_idle: int = 5 * SEC  # a client connection idle behind an answer is closed
+    client_idle: int = 2 * SEC  # a client connection idle behind an answer is closed: the clients' front has a
+    # bounded number of them, and those that ask once and stay would use it up
     silent_wait: int = 2 * SEC  # and one that has brought no whole txn since it was made
     silent_least: int = 100 * MS  # past `clients`, one that has brought nothing for so long makes room
     read_wait: int = 2 * SEC  # a txn begun but not whole is given up
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -159,7 +159,7 @@
 
     def answer(self, head, body):
         """The whole answer, in one write. `head` lacks its last lines."""
-        self.exchange, self.since = None, self.front.swept
+        self.exchange, self.since = None, self.front.clock()
         if self.over:
             return
         last = not self.keep or self.deaf or self.crowded or self.front.closing
