Past a quarter of the descriptors the client connection idle longest is closed

Cause, told apart in docs/incidents: clients that ask once and keep their connection held exactly the third of the descriptors that clients may hold, so txns found no connection in their front and never came to us. At fault: Front.joined makes room only by what we can hold.

Changed: Front.spread, at each txn past the bound.

--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -13,6 +13,7 @@
 class Bounds:
     clients: int  # connections from clients; past it idle ones are shed, and with none idle txns are declined
     spare_clients: int  # connections past `clients` that are still answered
+    served: int  # client connections that brought a txn; past it the one idle longest is closed
     links: int  # connections to app servers; past it idle ones are shed
     connect_wait: int  # a connection that is not up by then could not be made
     link_idle: int  # an idle connection to an app server is closed by then, well before its far end does
@@ -55,6 +56,6 @@
 def fill(sockets, connect_wait, keepalive):
     """Clients hold a third of the descriptors for txns at most: app servers get as many and some for probes,
     client connections the rest, since most of those stand idle or have nothing good to say."""
-    links = sockets // 3 + SPARE
-    return Bounds(clients=sockets - KEPT_BACK - SPARE - links, spare_clients=SPARE, links=links,
+    links = sockets // 3 + SPARE  # a quarter is less than their third: some are left for who comes next
+    return Bounds(clients=sockets - KEPT_BACK - SPARE - links, spare_clients=SPARE, links=links, served=sockets // 4,
                   connect_wait=connect_wait, link_idle=keepalive // 3)
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -152,7 +152,10 @@
         self.body.append(part)
 
     def on_message_complete(self):
-        self.begun, self.whole, self.fed, self.fresh = False, True, 0, False
+        self.begun, self.whole, self.fed = False, True, 0
+        if self.fresh:
+            self.fresh = False
+            self.front.served += 1
         self.keep = self.parser.should_keep_alive()
 
     # ---- answers
@@ -191,6 +194,7 @@
         self.buffer = memoryview(bytearray(bounds.chunk))  # shared: each read is used up before the next
         self.most = bounds.head + bounds.body
         self.clients = {}  # in the order they came; emptied as connections end
+        self.served = 0  # those of them that brought something whole
         self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
         self.plans = {name.encode(): k for name, k in names.plans.items()}
         self.largest, self.nodes = terms.largest, terms.nodes
@@ -226,8 +230,18 @@
         min(free, key=lambda c: (not c.fresh, c.since)).end()
         return True
 
+    def spread(self, client):
+        """Guards the usual clients against those that ask once and keep their connection: clients hold a third
+        of the descriptors at most, and a txn that finds no connection there never reaches us."""
+        idle = [c for c in self.clients if not (c.fresh or c.exchange or c.begun or c.over or c.stuck)
+                and c is not client]
+        if idle:
+            self.counts["clients_shed"] += 1
+            min(idle, key=lambda c: c.since).end()
+
     def parted(self, client):
         self.clients.pop(client, None)
+        self.served -= not client.fresh
         if self.closing and not self.clients and self.done:
             self.done()
 
@@ -260,6 +274,8 @@
 
     def read(self, client):
         url = client.url
+        if self.served > self.bounds.served:
+            self.spread(client)
         if url.startswith(b"/-/"):
             return self.own_page(client, url)
         self.counts["taken"] += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -244,6 +244,22 @@
     s.check("crowd")
 
 
+def test_ask_once_and_stay():
+    """Past a quarter of the descriptors the connection idle longest is closed, so that their front, which may
+    hold a third, has some left for the next txn; one with a txn out is never closed."""
+    s = Stage(servers=9, limits={"sockets": 128})
+    s.ask(0, client="first")
+    first = s.pipes[s.out()]
+    for k in range(1, 36):
+        s.ask(k, client=f"c{k}")
+        s.reply(s.out())
+        s.wait(10)
+    s.lines = [line for line in s.lines if "closed" in line]
+    first.feed("HTTP/1.1 200 Said\r\nContent-Length: 5\r\n\r\nfirst")
+    s.counts("clients", "clients_shed", "settled")
+    s.check("ask_once")
+
+
 def test_counter():
     """Answers in order, a time-out of our own, late answers dropped, a silent connection replaced."""
     s = Stage()
