--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -68,7 +68,9 @@
             return None  # late, repeated or unknown
         final = event.get("Terminal", False)
         self.books.back(txn, attempt, server, final)
-        return t.Ended(txn, server, how, ns(event.get("Took", 0)), final, event.get("Charged", 0))
+        use = event.get("Usage")
+        return t.Ended(txn, server, how, ns(event.get("Took", 0)), final, event.get("Charged", 0), attempt,
+                       (use - 1) / 100 if use else None, event.get("Report"))
 
     def dropped(self, event):
         txn = self.books.txns.of.get(event["Req"])
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -23,6 +23,8 @@
 QUICK = 0.25  # part of a call's wait within which its answer tells of no crowd
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
+KNOWN = 8 * SEC  # how long what a thin account asked for is taken to go on
+METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
@@ -75,6 +77,7 @@
         self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
         self.most, self.subscribes = terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
+        self.period = terms.use_period
         self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
         self.limit = self.start = OPEN_START / terms.nodes  # submissions out at each app server
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
@@ -147,6 +150,8 @@
         if told.how not in (t.CANCELLED, t.UNSENT):
             self.judge(server, txn, told)
         self.let_go(server)
+        if told.use is not None:
+            self.metered(txn.account, told.use)
         if told.how == t.DONE and told.true_units and txn.inside and txn.account.rate:
             ledger = txn.account.rate
             self.roll(ledger)
@@ -171,16 +176,24 @@
 
     def beyond(self, txn):  # the design's refusal; where excess earns more than it costs, by room
         account = txn.account
-        known = account.thin and txn.told and txn.count <= account.quota.most + 1e-6
-        txn.inside = known if account.thin else self.within(account, txn.units)
+        if not account.thin:
+            txn.inside = self.within(account, txn.units)
+        elif account.quota.rate <= 0:
+            txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
+        else:
+            txn.inside = self.random() * account.asked < 1.0
         if txn.inside or account.quota.pays and self.roomy(1.0):
             return False
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
-        unknown, costs = account.thin and not txn.told, account.quota.costs
+        unknown, costs = account.thin and not txn.told and account.quota.rate <= 0, account.quota.costs
         return not (unknown and (costs < 1.0 or self.roomy(costs)))
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
-        return (txn.account.thin and txn.expiry - self.now > 2 * self.call_wait + self.margin
+        account = txn.account
+        if not account.thin or account.quota.rate > 0 and self.now - account.read_at < KNOWN:
+            return False
+        return (txn.expiry - self.now > 2 * self.call_wait + self.margin
+                and not account.quota.pays and self.fits()
                 and self.random() * sqrt(self.stretch) < 1.0 and self.mark(CALL))
 
     def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
@@ -368,13 +381,21 @@
         if txn.state == ASKED:
             txn.told = told.how == t.DONE
             txn.count = max(0.0, told.total / txn.scale - txn.units) * sqrt(self.stretch) + txn.units
+            if txn.told and txn.account.quota.rate > 0:
+                txn.account.asked, txn.account.read_at = txn.count / txn.account.quota.most, self.now
             self.step(txn, READ)
 
+    def metered(self, account, use):
+        """What all nodes sent on in the meter's last period, over the quota: late, but free."""
+        if account.thin and account.quota.rate > 0:
+            weight = min(METER_WEIGHT, account.quota.rate * self.period / SEC / METER_UNITS)
+            account.asked += weight * (use * max(1.0, account.asked) - account.asked)
+            if weight == METER_WEIGHT:
+                account.read_at = self.now
+
     def give_back(self, txn):  # what was declined goes out of the count again, and under a cap what has ended
-        exact = txn.account.quota.rate <= 0  # a cap
-        chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
-        if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
-            self.call(txn.name, -round(txn.units * txn.scale / chance, 4), SEC, self.on_level, txn.account)
+        if txn.account.quota.rate <= 0 and self.mark(CALL):
+            self.call(txn.name, -txn.units, SEC, self.on_level, txn.account)
 
     def book(self, account):  # the name of an account's one count, and its age; they turn at spread moments
         life = account.quota.life
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -46,6 +46,8 @@
     out: int = 0  # submissions out
     level: float = 0.0  # the others' submissions out, as last told
     level_at: int = -10 ** 18  # long ago
+    asked: float = 0.0  # what a thin account asked for at all nodes, over its quota, as last told
+    read_at: int = -10 ** 18
 
 
 @slotted
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -59,6 +59,7 @@
     warm_within: int
     fall_multiple: float
     tip_after: int
+    use_period: int = 0  # answers tell an account's use over so long; 0: they don't
 
 
 # ---- inputs
@@ -101,6 +102,9 @@
     took: int
     final: bool
     true_units: float  # 0: not told
+    attempt: int = 0  # which of the txn's submissions
+    use: float | None = None  # of its quota, by the account, at all nodes, in the meter's last period
+    report: dict | None = None  # of the app server's load
 
 
 @slotted
