--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -23,12 +23,13 @@
 QUICK = 0.25  # part of a call's wait within which its answer tells of no crowd
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
-KNOWN = 8 * SEC  # how long what a thin account asked for is taken to go on
+KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
+CALM, FULL = 0.5, 0.9  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
-GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
+GROWTH = 0.05  # how fast a limit grows while it is used up: it settles where one answer in five is slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing
@@ -178,10 +179,10 @@
         account = txn.account
         if not account.thin:
             txn.inside = self.within(account, txn.units)
-        elif account.quota.rate <= 0:
+        elif txn.told or account.quota.rate <= 0:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
         else:
-            txn.inside = self.random() * account.asked < 1.0
+            txn.inside = account.use < FULL
         if txn.inside or account.quota.pays and self.roomy(1.0):
             return False
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
@@ -190,11 +191,11 @@
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
         account = txn.account
-        if not account.thin or account.quota.rate > 0 and self.now - account.read_at < KNOWN:
+        if not account.thin or txn.expiry - self.now < 2 * self.call_wait + self.margin:
             return False
-        return (txn.expiry - self.now > 2 * self.call_wait + self.margin
-                and not account.quota.pays and self.fits()
-                and self.random() * sqrt(self.stretch) < 1.0 and self.mark(CALL))
+        clear = account.quota.rate > 0 and account.use < CALM and self.now - account.read_at < KNOWN
+        txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
+        return not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
 
     def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
         return txn.risk_at is None or txn.line.harmless
@@ -374,28 +375,31 @@
         """The one txn held for the counter. Adds grow as fast as counts fade, so one total tells all."""
         quota = txn.account.quota
         txn.name, age = self.book(txn.account)
-        txn.scale = sqrt(self.stretch) * exp(age / quota.fade)  # the few that ask stand for all
-        self.call(txn.name, round(txn.units * txn.scale, 4), quota.life, self.on_answer, txn)
+        txn.age = exp(age / quota.fade)
+        self.call(txn.name, round(txn.units * txn.scale * txn.age, 4), quota.life, self.on_answer, txn)
 
     def on_answer(self, told, txn):
         if txn.state == ASKED:
             txn.told = told.how == t.DONE
-            txn.count = max(0.0, told.total / txn.scale - txn.units) * sqrt(self.stretch) + txn.units
+            txn.count = max(0.0, told.total / txn.age - txn.units * txn.scale) + txn.units
             if txn.told and txn.account.quota.rate > 0:
-                txn.account.asked, txn.account.read_at = txn.count / txn.account.quota.most, self.now
+                txn.account.use, txn.account.read_at = txn.count / txn.account.quota.most, self.now
             self.step(txn, READ)
 
     def metered(self, account, use):
         """What all nodes sent on in the meter's last period, over the quota: late, but free."""
         if account.thin and account.quota.rate > 0:
             weight = min(METER_WEIGHT, account.quota.rate * self.period / SEC / METER_UNITS)
-            account.asked += weight * (use * max(1.0, account.asked) - account.asked)
+            account.use += weight * (use - account.use)
             if weight == METER_WEIGHT:
                 account.read_at = self.now
 
     def give_back(self, txn):  # what was declined goes out of the count again, and under a cap what has ended
-        if txn.account.quota.rate <= 0 and self.mark(CALL):
-            self.call(txn.name, -txn.units, SEC, self.on_level, txn.account)
+        exact = txn.account.quota.rate <= 0  # a cap
+        chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
+        if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
+            amount = txn.units * txn.scale * txn.age / chance
+            self.call(txn.name, -round(amount, 4), SEC, self.on_level, txn.account)
 
     def book(self, account):  # the name of an account's one count, and its age; they turn at spread moments
         life = account.quota.life
@@ -535,7 +539,7 @@
             rest *= 1.0 - self.prompt if told.how == t.TIMED_OUT else 1.0
             self.limit = max(0.25 * self.start, self.limit * (1.0 - 0.2 * rest))
         elif done and self.saved < REACH:
-            self.limit += rest * GROWTH * self.start * self.start / self.limit
+            self.limit += rest * GROWTH * self.limit
 
     def on_probed(self, told):  # guards against hangs, and tells of the load that others bring
         server = self.servers.get(told.server)
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -46,7 +46,7 @@
     out: int = 0  # submissions out
     level: float = 0.0  # the others' submissions out, as last told
     level_at: int = -10 ** 18  # long ago
-    asked: float = 0.0  # what a thin account asked for at all nodes, over its quota, as last told
+    use: float = 0.0  # what all nodes sent on for a thin account, over its quota, as last told
     read_at: int = -10 ** 18
 
 
@@ -85,5 +85,6 @@
     inside: bool = False  # counted against the quota
     told: bool = False  # its account's count was told before it was sent on
     count: float = 0.0  # that count, with its own units
-    scale: float = 1.0  # what a unit weighed in that count
+    scale: float = 1.0  # how many txns it stands for in that count
+    age: float = 1.0  # what a unit weighed in it, by the count's age
     name: int = 0  # of that count
