The SLA time runs from a client's first try; a node that stood still judges nobody

Seen in a trace of big-1: first tries all bring the same patience, later ones what is left of 6 or 8 s; half of the txns under clients that leave came with their SLA time used up.

--- a/rampfront/announced.py
+++ b/rampfront/announced.py
@@ -34,7 +34,8 @@
     limits, rules, domain = setup["Limits"], setup["Rules"], setup.get("Domain", {})
     products = [t.Product(word(EFFECTS, row["Effect"], "effect"),
                           word(GROUPS, row.get("Group", "all"), "group"), ns(row["OnTime"]),
-                          ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0))
+                          ns(row.get("RepeatWindow", 0)), row.get("LateWorth", 0.0),
+                          ns(row.get("HardLimit", 0)))
                 for row in setup["Classes"]]
     plans = [t.Plan(row.get("PerSecond", 0.0), row.get("StoreSize", 0.0), int(row.get("AtOnce", 0)),
                     row.get("NeverOverRate", 0.0), row.get("CapDepth", 0.0), row.get("BeyondEarns", 0.0),
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -23,13 +23,15 @@
 QUICK = 0.25  # part of a call's wait within which its answer tells of no crowd
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
+BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
+SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
-CALM, FULL = 0.5, 0.9  # where it is below the first part of the quota; past the second, untold txns are beyond
+CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
 OPEN_START = 3.5  # submissions out at one app server, of all nodes, before anything is known of it
-GROWTH = 0.05  # how fast a limit grows while it is used up: it settles where one answer in five is slow
+GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
 PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing
@@ -50,6 +52,7 @@
     def __init__(self, product):
         self.kind, self.group, self.sla = product.kind, product.group, product.sla
         self.window, self.late, self.mean = product.repeat_window, product.late_share, 0.0
+        self.patience, self.usual, self.votes = product.patience, 0, 0
         self.harmless = self.kind == t.INQUIRY or self.kind == t.REFERENCED and self.group == t.ALL
 
 
@@ -90,6 +93,7 @@
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch, self.took = WELL, 0, 0, 1.0, 0
+        self.woke, self.beating = 0, False  # when it last found that it had stood still; its beat is set
         self.ref, self.spare, self.prompt = 0, SPARE_MOST, 0.0  # the part of submissions lately back in time
         self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
@@ -111,6 +115,13 @@
         self.due[self.ref] = (what, about)
         self.effects.append(t.Remind(int(delay), self.ref))
 
+    def beat(self, due):
+        """Guards against a node that stood still: what it then finds at once tells of itself alone."""
+        self.woke = self.now if self.now - due > STALL else self.woke
+        self.beating = bool(self.txns)
+        if self.beating:
+            self.remind(BEAT, self.beat, self.now + BEAT)
+
     def on_due(self, told):
         what, about = self.due.pop(told.ref, (self.always, ()))
         what(*about)
@@ -135,12 +146,26 @@
 
     def on_arrival(self, told):
         account = self.account(told.account, told.plan, told.set_size)
-        txn = self.txns[told.txn] = Txn(told.txn, self.lines[told.product], account, told.units, self.now,
+        line = self.lines[told.product]
+        txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, self.now - self.waited(line, told.expires_in),
                                         self.now + told.expires_in, NEW)
+        if not self.beating:
+            self.beat(self.now)
         self.step(txn, ARRIVED)
         if self.probes and self.up and self.random() < PROBE_SHARE + PROBE_THIN / (1.0 + self.each):
             self.effects.append(t.Probe(self.pick(self.up)[0].id))
 
+    def waited(self, line, left):
+        """How long the client has waited since its first try, by what is left of its patience. First tries all
+        bring about the same, which is learnt by vote; less than that is a later try, or has stood here."""
+        like = abs(left - line.usual) < SAME
+        line.votes += 1 if like else -1
+        if line.votes < 0:
+            line.usual, line.votes = left, 1
+        if like or not line.patience:
+            return 0
+        return max(0, (line.usual if self.woke == self.now and left < line.usual else line.patience) - left)
+
     def on_left(self, told):
         self.step(self.txns[told.txn], LEFT)
 
@@ -148,7 +173,7 @@
         txn, server = self.txns[told.txn], self.servers[told.server]
         txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
         txn.account.out -= 1
-        if told.how not in (t.CANCELLED, t.UNSENT):
+        if told.how not in (t.CANCELLED, t.UNSENT) and self.woke < self.now:
             self.judge(server, txn, told)
         self.let_go(server)
         if told.use is not None:
@@ -182,8 +207,8 @@
         elif txn.told or account.quota.rate <= 0:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
         else:
-            txn.inside = account.use < FULL
-        if txn.inside or account.quota.pays and self.roomy(1.0):
+            txn.inside = self.random() * (FULL - CALM) < FULL - account.use
+        if (txn.inside or account.quota.pays and self.roomy(1.0)) and self.worth(txn):
             return False
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
         unknown, costs = account.thin and not txn.told and account.quota.rate <= 0, account.quota.costs
@@ -191,18 +216,23 @@
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
         account = txn.account
-        if not account.thin or txn.expiry - self.now < 2 * self.call_wait + self.margin:
+        if not account.thin or not self.worth(txn) or txn.expiry - self.now < 2 * self.call_wait + self.margin:
             return False
+        metered = account.quota.rate * self.period / SEC >= METER_WEIGHT * METER_UNITS
         clear = account.quota.rate > 0 and account.use < CALM and self.now - account.read_at < KNOWN
+        if metered:
+            return False
         txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
         return not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
 
     def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
         return txn.risk_at is None or txn.line.harmless
 
+    def worth(self, txn):  # whether an answer may still come in time
+        return txn.line.late > 0 or txn.came + txn.line.sla - self.now > HOPE * txn.line.mean
+
     def again(self, txn):  # a further submission: while it pays, out of savings, so that no storm starts
-        worth = txn.line.late > 0 or txn.came + txn.line.sla - self.now > txn.line.mean
-        return worth and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
+        return self.worth(txn) and self.spare >= 1.0 and txn.sent < self.most and self.choose(txn)
 
     def choose(self, txn):  # one app server drawn at random, odds in step with the room it is thought to have
         some = self.lawful(txn) if self.fits() else []
@@ -445,7 +475,8 @@
             if not waiting:
                 del self.calls[told.name]
             self.took = self.call_wait if told.how == t.UNSEEN else told.took
-            self.mark(ANSWER if told.how == t.DONE else FAILURE)
+            if told.how == t.DONE or self.woke < self.now:
+                self.mark(ANSWER if told.how == t.DONE else FAILURE)
             what(told, *about)
 
     def on_total(self, told, ledger, window):
@@ -539,7 +570,7 @@
             rest *= 1.0 - self.prompt if told.how == t.TIMED_OUT else 1.0
             self.limit = max(0.25 * self.start, self.limit * (1.0 - 0.2 * rest))
         elif done and self.saved < REACH:
-            self.limit += rest * GROWTH * self.limit
+            self.limit += rest * GROWTH * self.start * self.start / self.limit
 
     def on_probed(self, told):  # guards against hangs, and tells of the load that others bring
         server = self.servers.get(told.server)
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -28,6 +28,7 @@
     sla: int
     repeat_window: int
     late_share: float
+    patience: int = 0  # how long a client waits over all its tries; 0: not told
 
 
 @slotted
