What was given up holds its place at its app server for three mean times

Seen: 23% of the submissions timed out on overload while nodes counted their places as free; a cancel or a time-out stops nothing there.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -25,6 +25,7 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
 SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
+GHOST = 3.0  # how long what was given up is taken to run on, in mean times
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -141,6 +142,10 @@
             server.zone, server.cell = row.zone, row.cell
         self.up = [s for s in self.servers.values() if s.state == t.UP]
 
+    def lay(self, server):
+        """Guards against room that is not there: what is given up may still run at its app server for a while."""
+        server.ghosts, self.free = server.ghosts - 1, self.free + 1.0
+
     def let_go(self, server):
         self.servers.pop(server.id, None) if server.state == t.REMOVED and not server.out else None
 
@@ -173,6 +178,9 @@
         txn, server = self.txns[told.txn], self.servers[told.server]
         txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
         txn.account.out -= 1
+        if told.how in (t.CANCELLED, t.TIMED_OUT):
+            server.ghosts, self.free = server.ghosts + 1, self.free - 1.0
+            self.remind(GHOST * txn.line.mean, self.lay, server)
         if told.how not in (t.CANCELLED, t.UNSENT) and self.woke < self.now:
             self.judge(server, txn, told)
         self.let_go(server)
@@ -257,7 +265,7 @@
         self.saved_at = self.now
         if self.now - self.looked_at > SEC // 10:
             self.looked_at = self.now
-            self.free = sum(max(-1.0, self.limit * self.ready(s) - s.out) for s in self.up)
+            self.free = sum(max(-1.0, self.limit * self.ready(s) - s.out - s.ghosts) for s in self.up)
             warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
             self.each = sum(warm) / len(warm) if warm else self.each  # with none warm, the last guess stands
 
@@ -534,7 +542,7 @@
 
     def room(self, server):
         """What its limit leaves, by readiness and pace; in a large fleet, the few it knows come first."""
-        known, free = self.known(server), self.limit - server.out
+        known, free = self.known(server), self.limit - server.out - server.ghosts
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * self.ready(server) / server.pace * trust
 
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -58,6 +58,7 @@
     cell: int = 0
     born: int = 0
     out: int = 0
+    ghosts: int = 0  # submissions given up that may still run
     pace: float = 1.0  # its time for a txn over that of all
     won: float = 0.0  # fading counts of what it did with our work
     lost: float = 0.0
