--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -25,7 +25,7 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
 SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
-GHOST = 3.0  # how long what was given up is taken to run on, in mean times
+GHOST = 8.0  # how long what was given up is taken to run on, in mean times
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -180,7 +180,7 @@
         txn.account.out -= 1
         if told.how in (t.CANCELLED, t.TIMED_OUT):
             server.ghosts, self.free = server.ghosts + 1, self.free - 1.0
-            self.remind(GHOST * txn.line.mean, self.lay, server)
+            self.remind(GHOST * (1.0 - self.prompt) * txn.line.mean, self.lay, server)
         if told.how not in (t.CANCELLED, t.UNSENT) and self.woke < self.now:
             self.judge(server, txn, told)
         self.let_go(server)
@@ -212,14 +212,14 @@
         account = txn.account
         if not account.thin:
             txn.inside = self.within(account, txn.units)
-        elif txn.told or account.quota.rate <= 0:
+        elif txn.told or account.quota.rate <= 0 and not self.period:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
         else:
             txn.inside = self.random() * (FULL - CALM) < FULL - account.use
         if (txn.inside or account.quota.pays and self.roomy(1.0)) and self.worth(txn):
             return False
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
-        unknown, costs = account.thin and not txn.told and account.quota.rate <= 0, account.quota.costs
+        unknown, costs = account.thin and not txn.told and not self.period, account.quota.costs
         return not (unknown and (costs < 1.0 or self.roomy(costs)))
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
@@ -228,7 +228,7 @@
             return False
         metered = account.quota.rate * self.period / SEC >= METER_WEIGHT * METER_UNITS
         clear = account.quota.rate > 0 and account.use < CALM and self.now - account.read_at < KNOWN
-        if metered:
+        if metered or account.quota.rate <= 0 and self.period and account.use < CALM:
             return False
         txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
         return not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
@@ -426,8 +426,9 @@
 
     def metered(self, account, use):
         """What all nodes sent on in the meter's last period, over the quota: late, but free."""
-        if account.thin and account.quota.rate > 0:
-            weight = min(METER_WEIGHT, account.quota.rate * self.period / SEC / METER_UNITS)
+        if account.thin:
+            units = account.quota.rate * self.period / SEC if account.quota.rate > 0 else METER_UNITS
+            weight = min(METER_WEIGHT, units / METER_UNITS)
             account.use += weight * (use - account.use)
             if weight == METER_WEIGHT:
                 account.read_at = self.now
