--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -25,7 +25,8 @@
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
 SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
-GHOST = 8.0  # how long what was given up is taken to run on, in mean times
+GHOST = 4.0  # how long what was given up is taken to run on, in mean times
+PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -94,6 +95,8 @@
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch, self.took = WELL, 0, 0, 1.0, 0
+        self.pressed = 0.0  # the part of txns inside their quotas that lately found no room
+        self.tardy = 0.0  # the part of answers that were late
         self.woke, self.beating = 0, False  # when it last found that it had stood still; its beat is set
         self.ref, self.spare, self.prompt = 0, SPARE_MOST, 0.0  # the part of submissions lately back in time
         self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
@@ -180,7 +183,7 @@
         txn.account.out -= 1
         if told.how in (t.CANCELLED, t.TIMED_OUT):
             server.ghosts, self.free = server.ghosts + 1, self.free - 1.0
-            self.remind(GHOST * (1.0 - self.prompt) * txn.line.mean, self.lay, server)
+            self.remind(GHOST * min(1.0, 4.0 * self.tardy) * txn.line.mean, self.lay, server)
         if told.how not in (t.CANCELLED, t.UNSENT) and self.woke < self.now:
             self.judge(server, txn, told)
         self.let_go(server)
@@ -215,7 +218,7 @@
         elif txn.told or account.quota.rate <= 0 and not self.period:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
         else:
-            txn.inside = self.random() * (FULL - CALM) < FULL - account.use
+            txn.inside = self.random() * (FULL - CALM) < FULL - account.use - PRESS * self.pressed
         if (txn.inside or account.quota.pays and self.roomy(1.0)) and self.worth(txn):
             return False
         # Guards against unknown txns that cost more than they earn and take the room of known ones.
@@ -227,8 +230,8 @@
         if not account.thin or not self.worth(txn) or txn.expiry - self.now < 2 * self.call_wait + self.margin:
             return False
         metered = account.quota.rate * self.period / SEC >= METER_WEIGHT * METER_UNITS
-        clear = account.quota.rate > 0 and account.use < CALM and self.now - account.read_at < KNOWN
-        if metered or account.quota.rate <= 0 and self.period and account.use < CALM:
+        clear = account.use < CALM and self.now - account.read_at < KNOWN
+        if metered:
             return False
         txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
         return not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
@@ -302,6 +305,7 @@
         now, line = self.now, txn.line
         self.spare = self.spare - 1.0 if txn.sent else min(SPARE_MOST, self.spare + SPARE_RATE)
         if not txn.sent:
+            self.pressed -= 0.05 * self.pressed
             self.count(txn)
         txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
         server.out, server.slots, self.free = server.out + 1, server.slots - 1, self.free - 1.0
@@ -317,6 +321,8 @@
 
     def decline(self, txn, found):
         rate = txn.account.quota.rate
+        if txn.inside and not txn.sent:
+            self.pressed += 0.05 * (1.0 - self.pressed)
         wait = txn.units / rate * SEC if rate > 0 and not txn.inside else txn.line.mean  # refill, or room
         self.effects.append(t.Decline(txn.id, int(min(self.advice, max(wait, 100 * MS)))))
 
@@ -572,6 +578,7 @@
         if line.mean and (done or told.how == t.TIMED_OUT):
             server.pace = max(0.4, 0.9 * server.pace + 0.1 * min(8.0, told.took / line.mean))
         late = told.took > SLOW * line.sla
+        self.tardy += 0.05 * (late - self.tardy) if done else 0.0
         self.prompt += 0.05 * ((done and not late) - self.prompt)
         if late or told.how in (t.UNSEEN, t.TIMED_OUT):
             # Guards against piling work on app servers that no longer keep up, whatever slows them. One ill
