--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -105,7 +105,7 @@
                 "AllowFor": ms(e.allow)}
 
     def cancel(self, e):
-        return {"cmd": "Retract", "Req": self.books.txns.ids[e.txn], "Attempt": self.books.out[e.txn][0] - 1}
+        return {"cmd": "Retract", "Req": self.books.txns.ids[e.txn], "Attempt": e.attempt}
 
     def decline(self, e):
         self.books.finish(e.txn)
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -27,6 +27,7 @@
 SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
 GHOST = 4.0  # how long what was given up is taken to run on, in mean times
 PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
+TARRY = 3.0  # a second copy is sent once the first has been out for so many mean times, or half of what is left
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -44,7 +45,7 @@
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
 NEW, ASKED, OUT, OVER = "new", "asked", "out", "over"
-ARRIVED, READ, SETTLED, UNRUN, RISKY, LEFT = "arrived", "read", "settled", "unrun", "risky", "left"
+ARRIVED, READ, SETTLED, UNRUN, RISKY, LEFT, TARRIES = "arrived", "read", "settled", "unrun", "risky", "left", "tarries"
 WELL, SICK, ANSWER, FAILURE, CALL = "well", "sick", "answer", "failure", "call"
 
 
@@ -84,6 +85,7 @@
         self.most, self.subscribes = terms.max_submissions, terms.subscribes
         self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
         self.period = terms.use_period
+        self.copies = terms.may_copy
         self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
         self.limit = self.start = OPEN_START / terms.nodes  # submissions out at each app server
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
@@ -95,6 +97,7 @@
         self.due = {}  # reminders under way: ref to what is done then; emptied as they fall due
         self.calls = {}  # calls to the counter under way, by name, and what is done then; emptied by answers
         self.counter, self.failures, self.trial_at, self.stretch, self.took = WELL, 0, 0, 1.0, 0
+        self.silent = 0.0  # the part of submissions out for long whose answer never came
         self.pressed = 0.0  # the part of txns inside their quotas that lately found no room
         self.tardy = 0.0  # the part of answers that were late
         self.woke, self.beating = 0, False  # when it last found that it had stood still; its beat is set
@@ -147,7 +150,7 @@
 
     def lay(self, server):
         """Guards against room that is not there: what is given up may still run at its app server for a while."""
-        server.ghosts, self.free = server.ghosts - 1, self.free + 1.0
+        server.held, self.free = server.held - 1, self.free + 1.0
 
     def let_go(self, server):
         self.servers.pop(server.id, None) if server.state == t.REMOVED and not server.out else None
@@ -179,11 +182,14 @@
 
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
-        txn.out, server.out, self.free = txn.out - 1, server.out - 1, self.free + 1.0
-        txn.account.out -= 1
-        if told.how in (t.CANCELLED, t.TIMED_OUT):
-            server.ghosts, self.free = server.ghosts + 1, self.free - 1.0
-            self.remind(GHOST * min(1.0, 4.0 * self.tardy) * txn.line.mean, self.lay, server)
+        held, late = txn.out.pop(told.attempt), min(1.0, 4.0 * self.tardy)
+        server.out, txn.account.out = server.out - 1, txn.account.out - 1
+        if held and told.how in (t.CANCELLED, t.TIMED_OUT):
+            self.remind(GHOST * late * txn.line.mean, self.lay, server)
+        elif held:
+            self.lay(server)
+        if told.how == t.CANCELLED and told.final and txn.state == OVER and not held:
+            self.silent += 0.1 * (0.8 - self.silent)
         if told.how not in (t.CANCELLED, t.UNSENT) and self.woke < self.now:
             self.judge(server, txn, told)
         self.let_go(server)
@@ -205,7 +211,7 @@
                 txn.state = then
                 effect(self, txn, found)
                 break
-        if txn.state == OVER and txn.out == 0 and self.txns.pop(txn.id, None) and txn.told:
+        if txn.state == OVER and not txn.out and self.txns.pop(txn.id, None) and txn.told:
             self.give_back(txn)
 
     def always(self, txn=None):
@@ -268,14 +274,14 @@
         self.saved_at = self.now
         if self.now - self.looked_at > SEC // 10:
             self.looked_at = self.now
-            self.free = sum(max(-1.0, self.limit * self.ready(s) - s.out - s.ghosts) for s in self.up)
+            self.free = sum(max(-1.0, self.limit * self.ready(s) - s.held) for s in self.up)
             warm = [self.fade(s) for s in self.up if self.ready(s) >= 1.0]
             self.each = sum(warm) / len(warm) if warm else self.each  # with none warm, the last guess stands
 
     def lawful(self, txn):
         """The app servers that the rules leave for the txn's next submission: the one gate of every send."""
         line, now, account = txn.line, self.now, txn.account
-        if txn.out or txn.expiry - now <= self.margin + MS:
+        if txn.out and not (self.copies and line.kind == t.INQUIRY) or txn.expiry - now <= self.margin + MS:
             return []
         if not txn.sent and account.quota.fill > 0 and self.store(account) < txn.units:
             return []  # rule 5
@@ -307,17 +313,36 @@
         if not txn.sent:
             self.pressed -= 0.05 * self.pressed
             self.count(txn)
-        txn.sent, txn.out, txn.last = txn.sent + 1, txn.out + 1, server.id
-        server.out, server.slots, self.free = server.out + 1, server.slots - 1, self.free - 1.0
+        txn.out[txn.sent] = True
+        txn.sent, txn.last = txn.sent + 1, server.id
+        server.out, server.slots = server.out + 1, server.slots - 1
+        server.held, self.free = server.held + 1, self.free - 1.0
         txn.account.out += 1
         if txn.risk_at is None:
             txn.risk_zone, txn.risk_cell = server.zone, server.cell
         left, rest = txn.came + line.sla - now, txn.expiry - now - self.margin
         allow = rest if line.late > 0 or left <= 0 else min(left, rest)
         self.effects.append(t.Submit(txn.id, server.id, max(MS, allow)))
+        if self.copies and line.kind == t.INQUIRY and line.mean:
+            self.remind(min(TARRY * line.mean, left / 2) if left > 0 else TARRY * line.mean, self.tarry, txn, txn.sent - 1,
+                        server)
 
-    def close(self, txn, found):  # nothing is owed; what is out for a client that left is called off
-        self.effects += [t.Cancel(txn.id)] if txn.out and self.cancels and txn.state == OVER else []
+    def tarry(self, txn, attempt, server):
+        """Guards against answers that never come, or come from an app server that is ill: a second copy, out of
+        the same savings and room as any further submission. Harm: work done twice where cancels stop nothing."""
+        if txn.out.get(attempt) and self.woke < self.now and self.silent > 0.5 and self.tardy < 0.1:
+            txn.out[attempt] = False  # its place is free: most likely the answer is lost, not late
+            self.lay(server)
+            self.step(txn, TARRIES)
+
+    def another(self, txn):  # one that is out may still settle it
+        return bool(txn.out)
+
+    def wait(self, txn, found):
+        pass
+
+    def close(self, txn, found):  # nothing is owed; what is out for a client that left, or lost, is called off
+        self.effects += [t.Cancel(txn.id, attempt) for attempt in sorted(txn.out) if self.cancels]
 
     def decline(self, txn, found):
         rate = txn.account.quota.rate
@@ -549,7 +574,7 @@
 
     def room(self, server):
         """What its limit leaves, by readiness and pace; in a large fleet, the few it knows come first."""
-        known, free = self.known(server), self.limit - server.out - server.ghosts
+        known, free = self.known(server), self.limit - server.held
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * self.ready(server) / server.pace * trust
 
@@ -570,6 +595,8 @@
 
     def judge(self, server, txn, told):
         line, done = txn.line, told.how == t.DONE
+        if line.mean and told.took > TARRY * line.mean:
+            self.silent += 0.1 * ((told.how == t.TIMED_OUT) - self.silent)
         self.fade(server)
         rest = 0.0 if self.doubtful(server) else 1.0 - self.known(server)
         server.won, server.lost = server.won + done, server.lost + (not done)
@@ -599,7 +626,8 @@
 ADMIT = ((Node.beyond, OVER, Node.decline),
          (Node.choose, OUT, Node.submit),
          (Node.always, OVER, Node.decline))
-AGAIN = ((Node.again, OUT, Node.submit),
+AGAIN = ((Node.another, OUT, Node.wait),
+         (Node.again, OUT, Node.submit),
          (Node.may_decline, OVER, Node.decline),
          (Node.always, OVER, Node.void))
 CLOSE = ((Node.always, OVER, Node.close),)
@@ -611,6 +639,7 @@
     (OUT, SETTLED): CLOSE,
     (OUT, UNRUN): AGAIN,
     (OUT, RISKY): AGAIN,
+    (OUT, TARRIES): ((Node.again, OUT, Node.submit),),
     (OUT, LEFT): CLOSE,
 }
 # state, input: (next state, effect); an effect that gives None leaves the state and means no
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -1,5 +1,6 @@
 """What a node remembers, as plain rows; `choice.py` alone reads and changes them and says what empties it."""
 
+from dataclasses import field
 from math import inf
 
 from .terms import slotted
@@ -58,7 +59,7 @@
     cell: int = 0
     born: int = 0
     out: int = 0
-    ghosts: int = 0  # submissions given up that may still run
+    held: int = 0  # places that our submissions take there, also those given up that may still run
     pace: float = 1.0  # its time for a txn over that of all
     won: float = 0.0  # fading counts of what it did with our work
     lost: float = 0.0
@@ -78,7 +79,7 @@
     expiry: int
     state: str
     sent: int = 0
-    out: int = 0
+    out: dict = field(default_factory=dict)  # its submissions that are out, and whether they hold a place
     last: int = -1  # where the last submission went
     risk_at: int | None = None  # when the first submission that may have run was sent
     risk_zone: int = 0
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -60,6 +60,7 @@
     warm_within: int
     fall_multiple: float
     tip_after: int
+    may_copy: bool = False  # a txn may have two submissions out
     use_period: int = 0  # answers tell an account's use over so long; 0: they don't
 
 
@@ -148,8 +149,9 @@
 
 @slotted
 class Cancel:
-    """Stop waiting for the submission of the txn that is out."""
+    """Stop waiting for a submission of the txn."""
     txn: int
+    attempt: int = 0
 
 
 @slotted
