Places given up are held for four mean times unless answers are being lost

A time-out while the rest comes in time is a lost answer, whose work is done; while the rest is late it runs on.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -28,6 +28,7 @@
 GHOST = 4.0  # how long what was given up is taken to run on, in mean times
 PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
 TARRY = 3.0  # a second copy is sent once the first has been out for so many mean times, or half of what is left
+TARDY = 0.2  # part of the answers past SLOW from which on all are taken to be slow, rather than some lost
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -182,10 +183,10 @@
 
     def on_ended(self, told):
         txn, server = self.txns[told.txn], self.servers[told.server]
-        held, late = txn.out.pop(told.attempt), min(1.0, 4.0 * self.tardy)
+        held = txn.out.pop(told.attempt)
         server.out, txn.account.out = server.out - 1, txn.account.out - 1
-        if held and told.how in (t.CANCELLED, t.TIMED_OUT):
-            self.remind(GHOST * late * txn.line.mean, self.lay, server)
+        if held and told.how in (t.CANCELLED, t.TIMED_OUT) and not self.losing():
+            self.remind(GHOST * txn.line.mean, self.lay, server)
         elif held:
             self.lay(server)
         if told.how == t.CANCELLED and told.final and txn.state == OVER and not held:
@@ -330,11 +331,14 @@
     def tarry(self, txn, attempt, server):
         """Guards against answers that never come, or come from an app server that is ill: a second copy, out of
         the same savings and room as any further submission. Harm: work done twice where cancels stop nothing."""
-        if txn.out.get(attempt) and self.woke < self.now and self.silent > 0.5 and self.tardy < 0.1:
+        if txn.out.get(attempt) and self.woke < self.now and self.losing():
             txn.out[attempt] = False  # its place is free: most likely the answer is lost, not late
             self.lay(server)
             self.step(txn, TARRIES)
 
+    def losing(self):  # answers are lost, as what comes comes in time
+        return self.silent > 0.5 and self.tardy < TARDY
+
     def another(self, txn):  # one that is out may still settle it
         return bool(txn.out)
 
