--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -29,6 +29,8 @@
 PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
 TARRY = 3.0  # a second copy is sent once the first has been out for so many mean times, or half of what is left
 TARDY = 0.2  # part of the answers past SLOW from which on all are taken to be slow, rather than some lost
+CROWD, SPARSE = 1.2, 3.0  # stretch past which well metered accounts ask so much more rarely
+COARSE = 2.0  # a count whose adds stand for more txns each is one more reading for an account that is metered
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
 CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
@@ -222,7 +224,7 @@
         account = txn.account
         if not account.thin:
             txn.inside = self.within(account, txn.units)
-        elif txn.told or account.quota.rate <= 0 and not self.period:
+        elif txn.told and not (self.sampled(account) and txn.scale > COARSE) or account.quota.rate <= 0 and not self.period:
             txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
         else:
             txn.inside = self.random() * (FULL - CALM) < FULL - account.use - PRESS * self.pressed
@@ -236,11 +238,10 @@
         account = txn.account
         if not account.thin or not self.worth(txn) or txn.expiry - self.now < 2 * self.call_wait + self.margin:
             return False
-        metered = account.quota.rate * self.period / SEC >= METER_WEIGHT * METER_UNITS
+        metered = self.sampled(account)
         clear = account.use < CALM and self.now - account.read_at < KNOWN
-        if metered:
-            return False
         txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
+        txn.scale *= SPARSE if metered and self.stretch > CROWD else 1.0
         return not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
 
     def may_decline(self, txn):  # rule 2: only where no submission can have run, or all repeats are dropped
@@ -455,10 +456,16 @@
         if txn.state == ASKED:
             txn.told = told.how == t.DONE
             txn.count = max(0.0, told.total / txn.age - txn.units * txn.scale) + txn.units
-            if txn.told and txn.account.quota.rate > 0:
-                txn.account.use, txn.account.read_at = txn.count / txn.account.quota.most, self.now
+            account = txn.account
+            if txn.told and account.quota.rate > 0:
+                known = self.sampled(account) and txn.scale > COARSE and self.now - account.read_at < KNOWN
+                account.use += (METER_WEIGHT if known else 1.0) * (txn.count / account.quota.most - account.use)
+                account.read_at = self.now
             self.step(txn, READ)
 
+    def sampled(self, account):  # whether a period of the meter holds units enough to go by it
+        return account.quota.rate * self.period / SEC >= METER_WEIGHT * METER_UNITS
+
     def metered(self, account, use):
         """What all nodes sent on in the meter's last period, over the quota: late, but free."""
         if account.thin:
