Second copies, use and patience reach the module through both fronts

Submissions are told apart by their number in terms, books and both fronts: Cancel names one, the first good answer alone reaches the client. X-RateLimit-Used is read at the door, what cannot be read is unknown. Limits.MayDuplicate, Domain.UsePeriod and Classes[].HardLimit are checked in launch; without them all stays as it was.

--- a/rampfront/benchlink/host.py
+++ b/rampfront/benchlink/host.py
@@ -70,7 +70,7 @@
         self.books.back(txn, attempt, server, final)
         use = event.get("Usage")
         return t.Ended(txn, server, how, ns(event.get("Took", 0)), final, event.get("Charged", 0), attempt,
-                       (use - 1) / 100 if use else None, event.get("Report"))
+                       (use - 1) / 100 if use else None)
 
     def dropped(self, event):
         txn = self.books.txns.of.get(event["Req"])
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -24,7 +24,8 @@
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
 BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
-SAME, HOPE = 20 * MS, 0.5  # patience alike; part of the mean time that must be left for a submission to pay
+SAME, FEW, MANY = 20 * MS, 5, 50  # patience alike; votes for it that are needed, and that count at most
+HOPE = 0.5  # part of the mean time that must be left for a submission to pay
 GHOST = 4.0  # how long what was given up is taken to run on, in mean times
 PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
 TARRY = 3.0  # a second copy is sent once the first has been out for so many mean times, or half of what is left
@@ -171,12 +172,13 @@
 
     def waited(self, line, left):
         """How long the client has waited since its first try, by what is left of its patience. First tries all
-        bring about the same, which is learnt by vote; less than that is a later try, or has stood here."""
+        bring about the same, which is learnt by vote; what differs is a later try, or has stood here. Where no
+        such patience shows, nothing is taken off: a guess would decline what can still be answered in time."""
         like = abs(left - line.usual) < SAME
-        line.votes += 1 if like else -1
+        line.votes = min(MANY, line.votes + 1) if like else line.votes - 0.5
         if line.votes < 0:
             line.usual, line.votes = left, 1
-        if like or not line.patience:
+        if like or line.votes < FEW or not line.patience:
             return 0
         return max(0, (line.usual if self.woke == self.now and left < line.usual else line.patience) - left)
 
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -157,7 +157,8 @@
             exchange = self.books.txns.ids[txn]
             self.books.finish(txn)
             self.front.void(exchange)
-            self.upstream.cancel(exchange)
+            for attempt in list(exchange.links):
+                self.upstream.cancel(exchange, attempt)
 
     # ---- inputs
 
@@ -171,14 +172,14 @@
         self.books.finish(exchange.txn)
         self.tell(t.Left(exchange.txn))
 
-    def ended(self, exchange, server, how, took, true_units=0, body=None):
+    def ended(self, exchange, attempt, server, how, took, true_units=0, use=None, body=None):
         """A submission has ended. The first answer goes to the client by itself and ends the txn."""
         txn = exchange.txn
-        final = self.books.back(txn, exchange.attempt, server, how == t.DONE)
-        exchange.link = None
+        final = self.books.back(txn, attempt, server, how == t.DONE)
+        exchange.links.pop(attempt, None)
         if how == t.DONE and exchange.client:
             self.front.settle(exchange, body)
-        self.tell(t.Ended(txn, server, how, took, final, true_units))
+        self.tell(t.Ended(txn, server, how, took, final, true_units, attempt, use))
 
     def probed(self, server, how, took, report):
         self.books.busy[server] -= 1
@@ -205,14 +206,14 @@
 
     def submit(self, e):
         exchange = self.books.txns.ids[e.txn]
-        exchange.attempt = self.books.sent(e.txn, e.server)
+        attempt = self.books.sent(e.txn, e.server)
         self.counts["submissions"] += 1
-        if exchange.attempt:
-            self.counts["resent"] += 1
-        self.upstream.submit(exchange, e.server, e.allow)
+        if attempt:
+            self.counts["copies" if exchange.links else "resent"] += 1
+        self.upstream.submit(exchange, attempt, e.server, e.allow)
 
     def cancel(self, e):
-        self.upstream.cancel(self.books.txns.ids[e.txn])
+        self.upstream.cancel(self.books.txns.ids[e.txn], e.attempt)
 
     def decline(self, e):
         self.books.finish(e.txn)
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -35,12 +35,12 @@
 class Exchange:
     """One txn on its way: what is passed on, who waits for it, where it is out. Its id alone tells it from
     others: while it is open, no second one may go out under that id."""
-    __slots__ = ("client", "id", "head", "body", "txn", "attempt", "link")
+    __slots__ = ("client", "id", "head", "body", "txn", "links")
 
     def __init__(self, client, txn_id, head, body):
         self.client, self.id, self.head, self.body = client, txn_id, head, body
-        self.txn = self.attempt = -1
-        self.link = None  # the connection that its submission is out on
+        self.txn = -1
+        self.links = {}  # the connections that its submissions are out on, by their numbers; emptied by ends
 
     def __hash__(self):
         return hash(self.id)
@@ -361,7 +361,7 @@
 
     def too_late(self, exchange):
         """Guards rule 1 where the wait for the counter could outlast the client: nothing is out yet."""
-        if exchange.client and not exchange.link:
+        if exchange.client and not exchange.links:
             self.desk.left(exchange)
             self.decline(exchange, 0)
 
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -18,13 +18,15 @@
 SETTINGS = {"Keepalive": 30000.0, "ConnectTimeout": 250.0}
 # What must stand in the settings: where, its kind, and how that is said. `[]` is each row of a list.
 NUMBER, COUNT, TEXT, LIST, OBJECT = "a number", "a whole number of 1 or more", "a text", "a list", "an object"
+FLAG = "true or false"
 NEEDED = (("Classes", LIST), ("Classes[].Name", TEXT), ("Classes[].Effect", TEXT),
           ("Classes[].OnTime", NUMBER), ("Packages", LIST), ("Packages[].Name", TEXT), ("PeersTotal", COUNT),
           ("Limits", OBJECT),
           ("Limits.AttemptsCap", COUNT), ("Rules", OBJECT), ("Rules.ColdShare", NUMBER),
           ("Rules.WarmWithin", NUMBER), ("Rules.FallMultiple", NUMBER), ("Rules.TipAfter", NUMBER))
 OPTIONAL = (("Limits.Keepalive", NUMBER), ("Limits.ConnectTimeout", NUMBER), ("Limits.MaxRetryAfter", NUMBER),
-            ("Domain", OBJECT), ("Domain.CountWait", NUMBER), ("Domain.Largest", NUMBER), ("Tick", NUMBER),
+            ("Domain", OBJECT), ("Domain.CountWait", NUMBER), ("Domain.Largest", NUMBER), ("Domain.UsePeriod", NUMBER),
+            ("Limits.MayDuplicate", FLAG), ("Classes[].HardLimit", NUMBER), ("Tick", NUMBER),
             ("Areas", LIST), ("Classes[].RepeatWindow", NUMBER), ("Classes[].LateWorth", NUMBER),
             ("Packages[].PerSecond", NUMBER), ("Packages[].StoreSize", NUMBER), ("Packages[].AtOnce", NUMBER),
             ("Packages[].NeverOverRate", NUMBER), ("Packages[].CapDepth", NUMBER),
@@ -35,6 +37,7 @@
     TEXT: lambda v: isinstance(v, str) and v != "",
     LIST: lambda v: isinstance(v, list) and v,
     OBJECT: lambda v: isinstance(v, dict),
+    FLAG: lambda v: isinstance(v, bool),
 }
 
 
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -34,7 +34,7 @@
 class Link(asyncio.BufferedProtocol):
     """One connection to one app server. `exchange` is None for a probe."""
     __slots__ = ("pool", "target", "transport", "parser", "state", "exchange", "sent_at", "due", "timer",
-                 "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "load")
+                 "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "use", "load", "attempt")
 
     def __init__(self, pool, target):
         self.pool, self.target, self.state = pool, target, OPENING
@@ -113,7 +113,7 @@
     def on_message_begin(self):
         if self.whole:
             raise ValueError("an answer too many")
-        self.body, self.size, self.not_run, self.units, self.load = [], 0, False, 0, None
+        self.body, self.size, self.not_run, self.units, self.use, self.load = [], 0, False, 0, None, None
 
     def on_headers_complete(self):
         self.headed = self.parser.get_status_code() >= 200
@@ -125,6 +125,8 @@
                 self.not_run = value.strip() == b"1"
             elif name == b"x-cost-units":
                 self.units = units(value)
+            elif name == b"x-ratelimit-used":
+                self.use = use(value)
             elif name == b"x-load":
                 self.load = value
 
@@ -150,11 +152,11 @@
 
     # ---- one submission or probe
 
-    def begin(self, exchange, allow):
+    def begin(self, exchange, attempt, allow):
         pool = self.pool
-        self.exchange, self.sent_at = exchange, pool.clock()
+        self.exchange, self.attempt, self.sent_at = exchange, attempt, pool.clock()
         if exchange:
-            exchange.link = self
+            exchange.links[attempt] = self
         self.due = self.sent_at + allow
         if self.state == IDLE:
             self.write()
@@ -192,9 +194,11 @@
             pool.timers.call_off(self.timer)
         self.exchange = self.timer = None
         now = pool.clock()
-        took, body, units = now - self.sent_at, None, 0
+        took, body, units, use = now - self.sent_at, None, 0, None
         if how == t.DONE:
             body, units = b"".join(self.body), self.units
+        if how in (t.DONE, t.ERROR):
+            use = self.use
         self.body = None  # an idle connection holds nothing of its last answer
         if keep and self.target.up:
             self.state, self.since = IDLE, now
@@ -203,7 +207,7 @@
             self.close()
         if exchange:
             pool.counts[COUNTS[how]] += 1
-            pool.desk.ended(exchange, self.target.index, how, took, units, body)
+            pool.desk.ended(exchange, self.attempt, self.target.index, how, took, units, use, body)
         else:
             pool.probe_over(self, how, took, body)
 
@@ -232,6 +236,13 @@
     return drawn if isfinite(drawn) and 0.0 < drawn < 1e9 else 0
 
 
+def use(text):
+    """What the answer says that its account used of its quota, over all nodes: 1 and the use in percent, as on the
+    simulator's wire. None for not told: what cannot be read does not say 'nothing'."""
+    text = text.strip()
+    return (int(text) - 1) / 100 if text.isdigit() and len(text) < 7 and int(text) else None
+
+
 def bare(transport, what):
     """Does `what` with the socket itself, past the loop."""
     handle = transport.get_extra_info("socket")
@@ -324,16 +335,16 @@
         min(oldest, key=lambda link: link.since).close()
         return True
 
-    def submit(self, exchange, index, allow):
+    def submit(self, exchange, attempt, index, allow):
         link = self.link_to(index)
         if link is None:
             self.counts["unseen"] += 1  # nothing was sent
-            return self.desk.ended(exchange, index, t.UNSEEN, 0)
-        link.begin(exchange, allow)
+            return self.desk.ended(exchange, attempt, index, t.UNSEEN, 0)
+        link.begin(exchange, attempt, allow)
 
-    def cancel(self, exchange):
-        if exchange.link:
-            exchange.link.finish(t.CANCELLED)
+    def cancel(self, exchange, attempt):
+        if link := exchange.links.get(attempt):
+            link.finish(t.CANCELLED)
 
     def probe(self, index):
         self.counts["probes"] += 1
@@ -341,7 +352,7 @@
         if link is None:
             self.counts["probes_failed"] += 1
             return self.desk.probed(index, t.UNSEEN, 0, {})
-        link.begin(None, self.bounds.probe_wait)
+        link.begin(None, 0, self.bounds.probe_wait)
 
     def probe_over(self, link, how, took, body):
         report = {}
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -106,7 +106,6 @@
     true_units: float  # 0: not told
     attempt: int = 0  # which of the txn's submissions
     use: float | None = None  # of its quota, by the account, at all nodes, in the meter's last period
-    report: dict | None = None  # of the app server's load
 
 
 @slotted
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -68,8 +68,9 @@
     def arrive(self, txn, product=0, plan=0, account="a", units=1, expiry=5000, nodes=2):
         self.tell(t.Arrival(txn, product, plan, account, units, expiry * MS, nodes))
 
-    def end(self, txn, how=t.DONE, server=0, took=100, true=0, final=None):
-        self.tell(t.Ended(txn, server, how, took * MS, how == t.DONE if final is None else final, true))
+    def end(self, txn, how=t.DONE, server=0, took=100, true=0, final=None, use=None, attempt=None):
+        attempt = min(self.node.txns[txn].out) if attempt is None else attempt
+        self.tell(t.Ended(txn, server, how, took * MS, how == t.DONE if final is None else final, true, attempt, use))
 
     def count(self, total=0, how=t.DONE):
         self.tell(t.Counted(self.adds.pop(0).name, total, how, (50 if how == t.TIMED_OUT else 2) * MS))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -151,7 +151,7 @@
 
 def test_repeats():
     """Rule 2: what each product may still do once a submission may have run, or surely has not."""
-    p = Play(servers=0)
+    p = Play(servers=0, nodes=1)  # room for all, so that rules alone decide
     p.list(0)
     p.list(1, cell=1, whole=False)
     for product, name in ((0, "inquiry-like"), (1, "referenced, by cell"), (2, "once-only")):
