--- /dev/null
+++ b/tests/test_move.py
@@ -0,0 +1,200 @@
+"""The move: edge nodes in the old shape and in the new before the same app servers and one counter, on loopback.
+
+`play` checks all rules on what the stand-ins saw; each is then broken on purpose, and `play` must say so."""
+
+import asyncio
+import io
+import json
+import socket
+import time
+
+import pytest
+import uvloop
+
+from helper import SETTINGS
+from rampfront import terms as t
+from rampfront.__main__ import start
+from rampfront.net import discovery, launch
+from rampfront.net.desk import Clock
+from rampfront.net.log import Log
+
+NODES, SECONDS = 8, 2.4
+OLD = {**SETTINGS, "PeersTotal": NODES, "Limits": {**SETTINGS["Limits"], "Probing": True},
+       "Classes": [{**row, "OnTime": 400.0} for row in SETTINGS["Classes"]]}
+NEW = {**OLD, "Limits": {**SETTINGS["Limits"], "MayDuplicate": True}, "Domain": {**OLD["Domain"], "UsePeriod": 1000.0},
+       "Classes": [{**row, "HardLimit": 1500.0} for row in OLD["Classes"]]}
+
+
+async def read_head(reader):
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    return lines[0], dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+
+
+class Parties:
+    """The app servers, the counter and discovery, as the protocol's page has them; all note what they see."""
+
+    def __init__(self):
+        self.counts, self.watches, self.seen, self.use = {}, [], [], 0
+
+    async def app_server(self, name, reader, writer):
+        try:
+            while True:
+                first, fields = await read_head(reader)
+                if "content-length" in fields:
+                    await reader.readexactly(int(fields["content-length"]))
+                if "/-/" in first:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                number = int(fields["x-request-id"])
+                self.seen.append((time.monotonic(), name, number))
+                await asyncio.sleep(0.02)
+                if number % 10 == 3 and first.startswith("POST"):
+                    return writer.close()  # it ran, and the connection breaks
+                if number % 10 == 4 and name == "s0":
+                    await asyncio.sleep(2)  # it ran, and the answer never comes
+                writer.write(b"HTTP/1.1 200 OK\r\nX-RateLimit-Used: 51\r\nContent-Length: 3\r\n\r\nyes")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def counter(self, reader, writer):
+        try:
+            while head := await reader.readline():
+                words = []
+                for _ in range(int(head[1:])):
+                    await reader.readline()
+                    words.append((await reader.readline()).strip())
+                if words[0] != b"ADDGET":
+                    writer.write(b"+PONG\r\n")
+                    continue
+                total = self.counts[words[1]] = self.counts.get(words[1], 0.0) + float(words[2])
+                writer.write(b"$%d\r\n%s\r\n" % (len(b"%.6g" % total), b"%.6g" % total))
+        except ConnectionError:
+            writer.close()
+
+    async def watch(self, reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+        self.watches.append(writer)
+
+    def tell(self, rev, row):
+        line = json.dumps({"rev": rev, "all": False, "targets": [row]}).encode() + b"\n"
+        for writer in self.watches:
+            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+        return time.monotonic()
+
+
+async def ask(port, number, product, plan, tries):
+    """One txn of a client; notes the status, whether it came in time, and whether anything came behind it."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    method = "GET" if product == "fetch" else "POST"
+    writer.write((f"{method} /api HTTP/1.1\r\nX-Request-Id: {number}\r\nX-Class: {product}\r\nX-Tier: {plan}\r\n"
+                  "Cookie: key=00000000b4d65521\r\nX-Deadline-Ms: 1500\r\n"
+                  f"X-Call-Terms: units=1,spread={NODES},first=0\r\n\r\n").encode())
+    said = None
+    try:
+        async with asyncio.timeout(1.5):
+            first, fields = await read_head(reader)
+            await reader.readexactly(int(fields["content-length"]))
+            said = int(first.split()[1])
+        async with asyncio.timeout(0.1):
+            said = said if not await reader.read(1) else "more than one answer"
+    except TimeoutError:
+        pass
+    writer.close()
+    tries.append((number, product, plan, port, said))
+
+
+def play(spoil=lambda nodes: None):
+    loop, parties, tries, listeners = uvloop.new_event_loop(), Parties(), [], []
+
+    def listen(what):
+        listeners.append(loop.run_until_complete(asyncio.start_server(what, "127.0.0.1", 0)))
+        return "127.0.0.1:%d" % listeners[-1].sockets[0].getsockname()[1]
+
+    rows = [{"uid": f"s{k}", "state": "in_service", "boot_ms": 0,
+             "endpoint": listen(lambda r, w, name=f"s{k}": parties.app_server(name, r, w))} for k in range(5)]
+    there = {"discovery": listen(parties.watch), "counter": listen(parties.counter)}
+    nodes, ports = [], {}
+    for k, settings in enumerate((OLD, NEW, OLD, NEW)):
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        ports[port] = "new" if settings is NEW else "old"
+        told = {"name": f"n{k}", "listen": f"127.0.0.1:{port}", **there, "seed": k, "settings": settings,
+                "limits": {"sockets": 1024}, "known": {"rev": 1, "all": True, "targets": rows[:4]}}
+        nodes.append(start(loop, Clock(), launch.read(told, {}), Log(f"n{k}", 10 ** 10, io.BytesIO())))
+    spoil(nodes)
+
+    async def day():
+        begun, tasks, order = time.monotonic(), [], list(ports)
+        marks = {}
+        for number in range(int(SECONDS * 100)):
+            await asyncio.sleep(max(0.0, begun + number / 100 - time.monotonic()))
+            if number == 100:
+                marks["drain"] = parties.tell(2, {**rows[3], "state": "terminating"})
+            if number == 120:
+                marks["cold"] = parties.tell(3, {**rows[4], "boot_ms": time.time_ns() // 10 ** 6})
+            product, plan = ("ledger" if number % 2 else "fetch"), ("held" if number % 5 == 0 else "open")
+            tasks.append(loop.create_task(ask(order[number // 5 % 4], number, product, plan, tries)))
+        await asyncio.wait(tasks)
+        return marks
+
+    marks = loop.run_until_complete(day())
+    for desk in nodes:
+        desk.front.retire(lambda: None)
+    for listener in listeners:
+        listener.close()
+    loop.run_until_complete(asyncio.sleep(0.05))
+    loop.stop()
+
+    assert len(tries) == int(SECONDS * 100)
+    assert not [row for row in tries if row[4] not in (200, 429, 502)], "rule 1: one whole answer in time"
+    ran = [number for _, _, number in parties.seen]
+    assert not [n for n, product, *_ in tries if product == "ledger" and ran.count(n) > 1], "rule 2"
+    late = [at for at, name, _ in parties.seen if name == "s3" and at > marks["drain"] + 0.5]
+    assert not late, "rule 3: nothing new to what drains"
+    span = [name for at, name, _ in parties.seen if marks["cold"] <= at <= marks["cold"] + 1.0]
+    assert span.count("s4") <= 2.0 * 0.2 * max(span.count("s1"), span.count("s2")) + 2, "rule 4: cold"
+    settled = {}
+    for _, _, plan, port, said in tries:
+        settled[plan, ports[port]] = settled.get((plan, ports[port]), 0) + (said == 200)
+    for plan in ("open", "held"):
+        old, new = settled[plan, "old"], settled[plan, "new"]
+        assert min(old, new) >= 0.25 * (old + new) > 0, f"{plan}: neither kind starves the other, {settled}"
+    assert settled["held", "old"] + settled["held", "new"] <= 1.3 * (10 + 2 * SECONDS), "one quota for both kinds"
+
+
+def test_both_kinds():
+    play()
+
+
+def void_nothing(nodes):
+    for desk in nodes:
+        desk.front.void = lambda exchange: None
+
+
+def repeat_all(nodes):
+    for desk in nodes:
+        desk.node.lines[2].kind = t.INQUIRY
+
+
+def rush(nodes):
+    for desk in nodes:
+        desk.node.ready = lambda server: 1.0
+
+
+def starve(nodes):
+    for desk in nodes[::2]:
+        desk.node.within = desk.node.fits = lambda *_: False
+
+
+@pytest.mark.parametrize("spoil, says", [(void_nothing, "rule 1"), (repeat_all, "rule 2"), (rush, "rule 4"),
+                                         (starve, "starves")])
+def test_broken_on_purpose(spoil, says):
+    with pytest.raises(AssertionError, match=says):
+        play(spoil)
+
+
+def test_drains_broken_on_purpose(monkeypatch):
+    monkeypatch.setitem(discovery.STATES, "terminating", t.UP)
+    with pytest.raises(AssertionError, match="rule 3"):
+        play()
