--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -23,18 +23,18 @@
 QUICK = 0.25  # part of a call's wait within which its answer tells of no crowd
 SICK_AFTER = 4  # failures of the counter in a row that open the breaker
 TRIAL_GAP = SEC // 2  # gap between trial calls while it is open
-BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; late by more, it stood still
+BEAT, STALL = SEC // 4, SEC // 10  # gap of the node's own beat while txns are open; later by more: it stood still
 SAME, FEW, MANY = 20 * MS, 5, 50  # patience alike; votes for it that are needed, and that count at most
 HOPE = 0.5  # part of the mean time that must be left for a submission to pay
 GHOST = 4.0  # how long what was given up is taken to run on, in mean times
 PRESS = 1.0  # how far the part of the known that lately found no room lowers what is let in untold
-TARRY = 3.0  # a second copy is sent once the first has been out for so many mean times, or half of what is left
+TARRY = 3.0  # mean times that a submission has been out, or half of what is left, before a second copy goes
 TARDY = 0.2  # part of the answers past SLOW from which on all are taken to be slow, rather than some lost
 CROWD, SPARSE = 1.2, 3.0  # stretch past which well metered accounts ask so much more rarely
 GRAIN = 0.5  # part of a quota that one add counts for at most
 COARSE = 2.0  # a count whose adds stand for more txns each is one more reading for an account that is metered
-KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls,
-CALM, FULL = 0.8, 1.15  # where it is below the first part of the quota; past the second, untold txns are beyond
+KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls while it is CALM
+CALM, FULL = 0.8, 1.15  # parts of the quota in use between which ever fewer untold txns are let in
 METER_WEIGHT, METER_UNITS = 0.4, 20.0  # most weight of a reading of the meter; units in it that give one
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
@@ -50,7 +50,8 @@
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
 
 NEW, ASKED, OUT, OVER = "new", "asked", "out", "over"
-ARRIVED, READ, SETTLED, UNRUN, RISKY, LEFT, TARRIES = "arrived", "read", "settled", "unrun", "risky", "left", "tarries"
+ARRIVED, READ, SETTLED, TARRIES = "arrived", "read", "settled", "tarries"
+UNRUN, RISKY, LEFT = "unrun", "risky", "left"
 WELL, SICK, ANSWER, FAILURE, CALL = "well", "sick", "answer", "failure", "call"
 
 
@@ -154,7 +155,8 @@
         self.up = [s for s in self.servers.values() if s.state == t.UP]
 
     def lay(self, server):
-        """Guards against room that is not there: what is given up may still run at its app server for a while."""
+        """Guards against room that is not there: what is given up may still run there for a while. Harm: where
+        cancels stop work, room stands idle for as long."""
         server.held, self.free = server.held - 1, self.free + 1.0
 
     def let_go(self, server):
@@ -163,8 +165,8 @@
     def on_arrival(self, told):
         account = self.account(told.account, told.plan, told.set_size)
         line = self.lines[told.product]
-        txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, self.now - self.waited(line, told.expires_in),
-                                        self.now + told.expires_in, NEW)
+        came = self.now - self.waited(line, told.expires_in)
+        txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, came, self.now + told.expires_in, NEW)
         if not self.beating:
             self.beat(self.now)
         self.step(txn, ARRIVED)
@@ -220,32 +222,28 @@
         if txn.state == OVER and not txn.out and self.txns.pop(txn.id, None) and txn.told:
             self.give_back(txn)
 
-    def always(self, txn=None):
+    def always(self, *about):
         return True
 
     def beyond(self, txn):  # the design's refusal; where excess earns more than it costs, by room
         account = txn.account
         if not account.thin:
             txn.inside = self.within(account, txn.units)
-        elif txn.told and not (self.sampled(account) and txn.scale > COARSE) or account.quota.rate <= 0 and not self.period:
-            txn.inside = txn.told and txn.count <= account.quota.most + 1e-6
+        elif txn.told and not (self.sampled(account) and txn.scale > COARSE):
+            txn.inside = txn.count <= account.quota.most + 1e-6
         else:
             txn.inside = self.random() * (FULL - CALM) < FULL - account.use - PRESS * self.pressed
-        if (txn.inside or account.quota.pays and self.roomy(1.0)) and self.worth(txn):
-            return False
-        # Guards against unknown txns that cost more than they earn and take the room of known ones.
-        unknown, costs = account.thin and not txn.told and not self.period, account.quota.costs
-        return not (unknown and (costs < 1.0 or self.roomy(costs)))
+        return not (self.worth(txn) and (txn.inside or account.quota.pays and self.roomy(1.0)))
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
         account = txn.account
-        if not account.thin or not self.worth(txn) or txn.expiry - self.now < 2 * self.call_wait + self.margin:
+        if not account.thin or txn.expiry - self.now < 2 * self.call_wait + self.margin:
             return False
-        metered = self.sampled(account)
         clear = account.use < CALM and self.now - account.read_at < KNOWN
         txn.scale = self.stretch if clear else sqrt(self.stretch)  # the few that ask stand for all
-        txn.scale *= SPARSE if metered and self.stretch > CROWD else 1.0
-        asks = not account.quota.pays and self.fits() and self.random() * txn.scale < 1.0 and self.mark(CALL)
+        txn.scale *= SPARSE if self.sampled(account) and self.stretch > CROWD else 1.0
+        asks = (not account.quota.pays and self.worth(txn) and self.fits()
+                and self.random() * txn.scale < 1.0 and self.mark(CALL))
         # Guards against one add that fills a quota for all that read it. Harm: in a crowd counts are too low.
         txn.scale = max(1.0, min(txn.scale, GRAIN * account.quota.most / txn.units))
         return asks
@@ -349,9 +347,6 @@
     def another(self, txn):  # one that is out may still settle it
         return bool(txn.out)
 
-    def wait(self, txn, found):
-        pass
-
     def close(self, txn, found):  # nothing is owed; what is out for a client that left, or lost, is called off
         self.effects += [t.Cancel(txn.id, attempt) for attempt in sorted(txn.out) if self.cancels]
 
@@ -643,7 +638,7 @@
 ADMIT = ((Node.beyond, OVER, Node.decline),
          (Node.choose, OUT, Node.submit),
          (Node.always, OVER, Node.decline))
-AGAIN = ((Node.another, OUT, Node.wait),
+AGAIN = ((Node.another, OUT, Node.always),
          (Node.again, OUT, Node.submit),
          (Node.may_decline, OVER, Node.decline),
          (Node.always, OVER, Node.void))
