Serve on the listening socket named by RELAY_LISTEN_FD, binding nothing

Now front.listen takes the inherited socket where the variable is set; a bad value is named as a faulty key. test_inherited_listener: a connection that waits in the queue while the old process retires is answered by the new one; without the change the second start fails to bind.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -38,7 +38,7 @@
     desk.begin()
     desk.listed(True, rows)
     watch.start()
-    loop.run_until_complete(front.listen(*launch.listen))
+    loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
 
     def sweep():
         desk.timers.after(bounds.sweep, sweep)  # first, so that a defect below does not end it
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import re
+import socket
 from binascii import unhexlify
 
 import httptools
@@ -201,9 +202,16 @@
         # An expiry that a call to the counter could outlast is guarded by a timer.
         self.short = terms.counter_wait + 2 * terms.tick + 2 * bounds.margin
 
-    async def listen(self, host, port):
-        self.server = await self.loop.create_server(lambda: Client(self), host, port,
-                                                    backlog=self.bounds.backlog)
+    async def listen(self, host, port, inherited=None):
+        """Binds the address, or serves on a listening socket handed down: old and new process of an upgrade
+        then take from one queue, and what waits in it is not lost when the old one closes its copy."""
+        if inherited is None:
+            self.server = await self.loop.create_server(lambda: Client(self), host, port,
+                                                        backlog=self.bounds.backlog)
+            return
+        sock = socket.socket(fileno=inherited)
+        sock.setblocking(False)
+        self.server = await self.loop.create_server(lambda: Client(self), sock=sock, backlog=self.bounds.backlog)
 
     # ---- connections
 
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -53,6 +53,8 @@
 class Launch:
     name: str
     listen: tuple
+    inherited: int | None  # a listening socket handed down by the platform: served on, nothing is bound
+    admin: tuple | None  # the operators' address
     discovery: tuple
     counter: tuple | None
     seed: int
@@ -91,6 +93,15 @@
         raise Faulty(key, "host:port", value) from None
 
 
+def descriptor(environ):
+    fd = environ.get("RELAY_LISTEN_FD")
+    if fd is None or fd == "":
+        return None
+    if not fd.isdigit() or int(fd) < 3:
+        raise Faulty("RELAY_LISTEN_FD", "the number of an open listening socket, 3 or more", fd)
+    return int(fd)
+
+
 def read(config, environ, descriptors=1 << 20):
     check(config, OBJECT, "the configuration")
     told = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
@@ -123,8 +134,12 @@
     except (KeyError, TypeError, ValueError, AttributeError) as trouble:
         raise Faulty("known", "a list as discovery gives it", f"{type(trouble).__name__} {trouble}") from None
     more = {**SETTINGS, **settings["Limits"]}
+    # The operators' address of this process: an upgrade starts the same configuration with a new one told.
+    admin = environ.get("RELAY_ADMIN_ADDR") or config.get("admin_addr")
+    admin = place({"admin_addr": admin}, "admin_addr") if admin else None
     return Launch(
         name=check(config.get("name"), TEXT, "name"), listen=place(config, "listen"),
+        inherited=descriptor(environ), admin=admin,
         discovery=place(config, "discovery"),
         counter=place(config, "counter") if terms.has_counter else None,
         seed=seed, known=known, terms=terms, names=names,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,7 +1,9 @@
 """The sockets: plays of the whole program against parties written from the protocol, without waiting."""
 
 import asyncio
+import contextlib
 import io
+import os
 from dataclasses import replace
 import signal
 import socket
@@ -575,3 +577,30 @@
     with pytest.raises(launch.Faulty) as trouble:
         launch.read({**config(), **change}, {})
     assert says in str(trouble.value)
+
+
+def test_inherited_listener(loop):
+    """Upgrades: the socket that the platform holds is served on, nothing is bound; a connection that waits in
+    its queue when the old process retires is taken by the next one, whose address stays as it was."""
+    told, held = config(1), socket.create_server(("127.0.0.1", 0))
+    told["listen"] = "%s:%d" % held.getsockname()  # bound already: binding it again would fail
+    old = start(loop, Clock(), launch.read(told, {"RELAY_LISTEN_FD": str(os.dup(held.fileno()))}),
+                Log("n0", 0, io.BytesIO()))
+    waiting = socket.create_connection(held.getsockname())
+    old.front.retire(lambda: None)
+    loop.run_until_complete(asyncio.sleep(0.01))
+    new = start(loop, Clock(), launch.read(told, {"RELAY_LISTEN_FD": str(os.dup(held.fileno()))}),
+                Log("n0", 0, io.BytesIO()))
+    waiting.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
+    waiting.setblocking(False)
+    for _ in range(100):
+        loop.run_until_complete(asyncio.sleep(0.005))
+        with contextlib.suppress(BlockingIOError):
+            said = waiting.recv(100)
+            break
+    assert said.startswith(b"HTTP/1.1 200 OK\r\n")
+    waiting.close()
+    new.front.retire(lambda: None)
+    held.close()
+    with pytest.raises(launch.Faulty):
+        launch.read(told, {"RELAY_LISTEN_FD": "four"})
