An operators' address: readyz, metrics, drain and activate

Metrics count outcomes at Front.out, where every answer to a taken txn is written, dispatches where a submission is written, concurrent from the books, targets and targets_disabled by the module's own test of doubt. A drain makes /-/ready say no, closes idle connections, and has every answer close its connection; activate ends it. test_operators_address plays it on loopback; without the module the calls find no listener.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from .net.admin import Admin
 from .net.counter import Counter
 from .net.desk import Clock, Desk
 from .net.discovery import Discovery
@@ -39,6 +40,10 @@
     desk.listed(True, rows)
     watch.start()
     loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
+    if launch.admin:
+        admin = Admin(loop, desk, front, bounds, launch.names, log)
+        loop.run_until_complete(admin.listen(*launch.admin))
+        parts.append(admin)
 
     def sweep():
         desk.timers.after(bounds.sweep, sweep)  # first, so that a defect below does not end it
@@ -86,7 +91,7 @@
     try:
         start(loop, Clock(), launch, log)
     except OSError as trouble:
-        print("rampfront: cannot listen on %s:%d:" % launch.listen, trouble, file=sys.stderr)
+        print("rampfront: cannot listen:", trouble, file=sys.stderr)
         return 1
     log.say("serving", listen=launch.listen, app_servers=len(launch.known[2]))
     gc.freeze()  # what stands now stays; nothing that is made for a txn holds itself in a ring
--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -45,6 +45,9 @@
     drain_most: int = 12 * SEC  # after SIGTERM: end whatever is left
     sweep: int = 250 * MS  # how often idle and stuck connections are looked for
     quiet: int = 10 * SEC  # one log line an event and party in this time
+    drain_silent: int = SEC  # while drained, a new connection that has brought nothing for so long is closed
+    admin_wait: int = SEC  # an operator's call not whole by then is cut off: answers are due within a second
+    admin_callers: int = 16  # operators' connections held at once; the oldest makes room
     backlog: int = 1024
     said: int = 1024  # texts of X-Call-Terms whose meaning is kept
 
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -36,10 +36,10 @@
 class Exchange:
     """One txn on its way: what is passed on, who waits for it, where it is out. Its id alone tells it from
     others: while it is open, no second one may go out under that id."""
-    __slots__ = ("client", "id", "head", "body", "txn", "links")
+    __slots__ = ("client", "id", "head", "body", "txn", "links", "product")
 
-    def __init__(self, client, txn_id, head, body):
-        self.client, self.id, self.head, self.body = client, txn_id, head, body
+    def __init__(self, client, txn_id, head, body, product):
+        self.client, self.id, self.head, self.body, self.product = client, txn_id, head, body, product
         self.txn = -1
         self.links = {}  # the connections that its submissions are out on, by their numbers; emptied by ends
 
@@ -166,7 +166,7 @@
         self.exchange, self.since = None, self.front.clock()
         if self.over:
             return
-        last = not self.keep or self.deaf or self.crowded or self.front.closing
+        last = not self.keep or self.deaf or self.crowded or self.front.closing or self.front.draining
         self.transport.write(b"%sContent-Length: %d\r\n%s\r\n%s" % (
             head, len(body), b"Connection: close\r\n" if last else b"", body))
         if last:
@@ -190,6 +190,7 @@
     def __init__(self, loop, desk, bounds, names, terms, log):
         self.loop, self.desk, self.bounds, self.log, self.counts = loop, desk, bounds, log, log.counts
         self.clock, self.closing, self.server, self.done = desk.clock, False, None, None
+        self.draining = False  # told by the operators: clients are sent elsewhere, the process stays
         self.swept = desk.clock()  # when connections were last looked at: near enough for their ages
         self.said = {}  # X-Call-Terms lately read, and what they mean; emptied when full
         self.buffer = memoryview(bytearray(bounds.chunk))  # shared: each read is used up before the next
@@ -198,6 +199,9 @@
         self.served = 0  # those of them that brought something whole
         self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
         self.plans = {name.encode(): k for name, k in names.plans.items()}
+        # What clients were answered, for each product: settled, declined, voided. Counted where answers are
+        # written, so the operators' figures are the outcomes that clients saw. Fixed in size.
+        self.outcomes = [[0, 0, 0] for _ in terms.products]
         self.largest, self.nodes = terms.largest, terms.nodes
         # An expiry that a call to the counter could outlast is guarded by a timer.
         self.short = terms.counter_wait + 2 * terms.tick + 2 * bounds.margin
@@ -267,6 +271,22 @@
                 c.refuse(Unfit(408, "the txn never became whole"))
             elif not c.exchange and not c.begun and age > (b.silent_wait if c.fresh else b.client_idle):
                 c.end()
+            elif self.draining and not c.exchange and not c.begun and (not c.fresh or age > b.drain_silent):
+                c.end()  # drained: none is held idle, and one that brings nothing goes soon
+
+    def ready(self):
+        return not self.closing and not self.draining and self.desk.upstream.any_up()
+
+    def drain(self):
+        """Clients are sent elsewhere: `/-/ready` says no and each answer closes its connection; what is idle
+        is closed now. The listener stays: what the clients' front still sends is served."""
+        self.draining = True
+        for c in list(self.clients):
+            if not (c.exchange or c.begun or c.fresh):
+                c.end()
+
+    def activate(self):
+        self.draining = False
 
     def retire(self, done):
         """Takes nothing new; `done` is called once every client has its answer and is gone."""
@@ -289,6 +309,8 @@
         self.counts["taken"] += 1
         if client.crowded:
             self.counts["turned_away"] += 1
+            if product := self.products.get(client.fields.get(b"x-class")):
+                self.outcomes[product[0]][1] += 1
             return client.answer(b"HTTP/1.1 503 Service Unavailable\r\n", b"")
         try:
             self.take(client, client.parser.get_method(), url, client.fields)
@@ -324,7 +346,7 @@
             raise Unfit(400, "a GET has no body")
         if method == b"POST":
             head += b"Content-Length: %d\r\n" % len(body)
-        exchange = Exchange(client, txn_id, head, body)
+        exchange = Exchange(client, txn_id, head, body, index)
         if exchange in self.desk.books.txns.of:
             # Guards rule 2 against a second copy that goes out under the id of one that is open.
             raise Unfit(409, "its X-Request-Id is open")
@@ -375,7 +397,7 @@
 
     def own_page(self, client, url):
         if url == b"/-/ready":
-            ready = not self.closing and self.desk.upstream.any_up()
+            ready = self.ready()
             client.answer(b"HTTP/1.1 200 OK\r\n" if ready else b"HTTP/1.1 503 Service Unavailable\r\n", b"")
         else:
             client.answer(b"HTTP/1.1 404 Not Found\r\n", b"")
@@ -387,6 +409,8 @@
         if exchange:
             exchange.client = None
             self.desk.left(exchange)
+        elif client.fields and (product := self.products.get(client.fields.get(b"x-class"))):
+            self.outcomes[product[0]][2] += 1  # a txn of a known product that the client saw fail
         text = str(trouble).encode()
         client.answer(b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n" % (
             trouble.status, REASONS[trouble.status]), text)
@@ -395,18 +419,20 @@
 
     def settle(self, exchange, body):
         self.counts["settled"] += 1
-        self.out(exchange, b"HTTP/1.1 200 OK\r\n", body)
+        self.out(exchange, b"HTTP/1.1 200 OK\r\n", body, 0)
 
     def decline(self, exchange, back_in):
         self.counts["declined"] += 1
         advice = b"Retry-After: %.3f\r\n" % (back_in / 1e9) if back_in else b""
-        self.out(exchange, b"HTTP/1.1 429 Too Many Requests\r\n" + advice, b"")
+        self.out(exchange, b"HTTP/1.1 429 Too Many Requests\r\n" + advice, b"", 1)
 
     def void(self, exchange):
         self.counts["voided"] += 1
-        self.out(exchange, b"HTTP/1.1 502 Bad Gateway\r\n", b"")
+        self.out(exchange, b"HTTP/1.1 502 Bad Gateway\r\n", b"", 2)
 
-    def out(self, exchange, head, body):
+    def out(self, exchange, head, body, outcome):
+        """Every answer to a taken txn passes here, and is counted here only."""
         client, exchange.client = exchange.client, None
         if client:
+            self.outcomes[exchange.product][outcome] += 1
             client.answer(head, body)
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -170,6 +170,7 @@
             return self.finish(t.UNSEEN)
         self.state, self.fed, self.headed = WAITING, 0, False
         if exchange:
+            pool.counts["dispatches"] += 1
             self.transport.write(b"%sX-Deadline-Ms: %d\r\n\r\n%s" % (
                 exchange.head, left // MS, exchange.body))
         else:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 
+import orjson
 import pytest
 import uvloop
 
@@ -604,3 +605,63 @@
     held.close()
     with pytest.raises(launch.Faulty):
         launch.read(told, {"RELAY_LISTEN_FD": "four"})
+
+
+def test_operators_address(loop):
+    """The operators' calls on real sockets: figures as clients saw them, a drain that the clients' front
+    sees and that closes what is idle, activate; unknown, wrong and silent callers cost nothing else."""
+    class AppServer(asyncio.Protocol):
+        def connection_made(self, transport):
+            self.transport = transport
+
+        def data_received(self, data):
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    told = config(1)
+    server = loop.run_until_complete(loop.create_server(AppServer, "127.0.0.1", 0))
+    told["known"]["targets"][0]["endpoint"] = "%s:%d" % server.sockets[0].getsockname()
+    for key in ("listen", "admin_addr"):
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            told[key] = "%s:%d" % free.getsockname()
+    desk = start(loop, Clock(), launch.read(told, {}), Log("n0", 0, io.BytesIO()))
+    run = loop.run_until_complete
+
+    async def call(where, text, keep=None):
+        read, write = await asyncio.open_connection(*launch.address(told[where]))
+        write.write(text)
+        said = await asyncio.wait_for(read.read(), 3)
+        write.close()
+        return said.split(b"\r\n")[0], said.partition(b"\r\n\r\n")[2]
+
+    fields = (b"X-Request-Id: %d\r\nX-Class: ledger\r\nX-Tier: open\r\nCookie: key=00000000B4D65521\r\n"
+              b"X-Deadline-Ms: 900\r\nX-Call-Terms: units=1,spread=2,first=0\r\nContent-Length: 0\r\n\r\n")
+    ask = b"POST /api HTTP/1.1\r\nConnection: close\r\n" + fields
+    said = [run(call("listen", ask % 1)), run(call("listen", ask.replace(b"X-Tier: open", b"X-Tier: z") % 2)),
+            run(call("admin_addr", b"GET /v1/readyz HTTP/1.1\r\n\r\n"))]
+    said.append(run(call("admin_addr", b"GET /v1/metrics HTTP/1.1\r\n\r\n")))
+    idle = run(asyncio.open_connection(*launch.address(told["listen"])))
+    idle[1].write(b"POST /api HTTP/1.1\r\n" + fields % 3)
+    run(idle[0].readuntil(b"ok"))
+    said += [run(call("admin_addr", b"POST /v1/edge-node/drain HTTP/1.1\r\n\r\n")),
+             run(call("listen", b"GET /-/ready HTTP/1.1\r\n\r\n")), (run(idle[0].read()),),  # the idle one is closed
+             run(call("admin_addr", b"GET /v1/readyz HTTP/1.1\r\n\r\n")),
+             run(call("admin_addr", b"POST /v1/edge-node/activate HTTP/1.1\r\n\r\n")),
+             run(call("listen", b"GET /-/ready HTTP/1.1\r\n\r\n")),
+             run(call("admin_addr", b"GET /v1/nothing HTTP/1.1\r\n\r\n")),
+             run(call("admin_addr", b"POST /v1/metrics HTTP/1.1\r\n\r\n")),
+             run(call("admin_addr", b"HELLO\r\n\r\n"))]
+    silent = [run(asyncio.open_connection(*launch.address(told["admin_addr"]))) for _ in range(3)]
+    silent[1][1].write(b"GET /v1/rea")
+    began = loop.time()
+    for read, _ in silent:  # cut off by the sweep
+        assert run(asyncio.wait_for(read.read(), 3)) == b""
+    assert 0.9 < loop.time() - began < 2.5
+    status = [line[0].split(b" ")[1] if line[0] else b"closed" for line in said]
+    assert status == [b"200", b"400", b"200", b"200", b"200", b"503", b"closed", b"503", b"200", b"200", b"404",
+                      b"405", b"400"]
+    figures = orjson.loads(said[3][1])
+    assert figures["success"] == {"fetch": 0, "publish": 0, "ledger": 1} and figures["error"]["ledger"] == 1
+    assert figures["dispatches"] == 1 and figures["targets"] == 1 and not figures["targets_disabled"]
+    desk.front.retire(loop.stop)
+    server.close()
+    loop.run_forever()
