Relay large answers as they come, paced by the client

Checked and set aside for now: pieces that stall past 150 ms (20 times) and slow clients cut off (198). A 200 over 64 KiB, or of a length told only by chunks, up to 64 MB, is now settled at its head and relayed: the client gets the head with the same framing and each piece as it comes; a slow client pauses reading from the app server; a break, or a second without a byte, cuts the client too.

--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -32,6 +32,8 @@
     expiry_most: int = 600 * SEC  # no client waits longer
     probe_wait: int = 250 * MS
     answer_wait: int = 150 * MS  # an answer that has begun is whole by then, or spoilt
+    relayed: int = 64 << 20  # bytes of an answer that is relayed as it comes; larger ones are refused
+    relay_stall: int = SEC  # a relayed answer that gives nothing for so long is cut, with its client
     ride: int = 20 * MS  # a reminder of the module waits so long for another wake to ride along with,
     ride_part: int = 50  # and no longer than its delay by this
     counter_silent: int = SEC  # a counter's connection that owes an answer for so long is replaced,
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -172,13 +172,14 @@
         self.books.finish(exchange.txn)
         self.tell(t.Left(exchange.txn))
 
-    def ended(self, exchange, attempt, server, how, took, true_units=0, use=None, body=None):
-        """A submission has ended. The first answer goes to the client by itself and ends the txn."""
+    def ended(self, exchange, attempt, server, how, took, true_units=0, use=None, body=None, relay=None):
+        """A submission has ended. The first answer goes to the client by itself and ends the txn; `relay` is
+        the connection that gives the body of a large one as it comes."""
         txn = exchange.txn
         final = self.books.back(txn, attempt, server, how == t.DONE)
         exchange.links.pop(attempt, None)
         if how == t.DONE and exchange.client:
-            self.front.settle(exchange, body)
+            self.front.settle(exchange, body, relay)
         self.tell(t.Ended(txn, server, how, took, final, true_units, attempt, use))
 
     def probed(self, server, how, took, report):
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -53,11 +53,12 @@
 class Client(asyncio.BufferedProtocol):
     """One connection of the clients' front; one txn at a time."""
     __slots__ = ("front", "transport", "parser", "url", "fields", "body", "size", "fed", "exchange", "since",
-                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep", "fresh")
+                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep", "fresh", "feeder", "last")
 
     def __init__(self, front):
         self.front = front
         self.exchange = None  # the txn that is owed an answer
+        self.feeder = None  # the connection whose answer is being relayed to this one
         self.begun = self.whole = self.deaf = self.over = self.stuck = self.crowded = False
         self.keep = self.fresh = True  # fresh: it has brought nothing whole yet
 
@@ -71,6 +72,9 @@
     def connection_lost(self, trouble):
         exchange, self.exchange, self.deaf = self.exchange, None, True
         self.front.parted(self)
+        if self.feeder:  # what the app server still gives has nobody to go to
+            self.feeder.relay = None
+            self.feeder.close()
         if exchange:
             exchange.client = None
             self.front.counts["left"] += 1
@@ -107,16 +111,24 @@
         self.stuck, self.since = True, self.front.swept
         if not self.over:
             self.transport.pause_reading()
+        if self.feeder:  # the app server is read no faster than its client takes it
+            self.feeder.transport.pause_reading()
 
     def resume_writing(self):
         self.stuck, self.since = False, self.front.swept
         if not self.over:
             self.transport.resume_reading()
+        if self.feeder:
+            self.feeder.transport.resume_reading()
+
+    @property
+    def busy(self):
+        return self.exchange is not None or self.feeder is not None
 
     # ---- of the parser
 
     def on_message_begin(self):
-        if self.exchange or self.whole or self.deaf:
+        if self.busy or self.whole or self.deaf:
             self.front.counts["pipelined"] += 1
             raise Unfit(400, "one txn at a time")
         self.begun = True
@@ -172,6 +184,23 @@
         if last:
             self.end()
 
+    def relay(self, head, link, length):
+        """The head of an answer that is relayed as it comes; `length` None for chunks. `link` gives the rest."""
+        self.exchange, self.since = None, self.front.clock()
+        if self.over:
+            return False
+        self.last = not self.keep or self.deaf or self.crowded or self.front.closing or self.front.draining
+        self.feeder = link
+        framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+        self.transport.write(b"%s%s%s\r\n" % (head, framing, b"Connection: close\r\n" if self.last else b""))
+        return True
+
+    def relayed(self):
+        """The whole answer has been relayed."""
+        self.feeder, self.since = None, self.front.clock()
+        if self.last:
+            self.end()
+
     def end(self):
         """Closes once what was written is out; `sweep` ends what never gets there."""
         if not self.over:
@@ -233,7 +262,7 @@
         """Closes the client connection that has been silent or else idle longest; false if none is. One that
         has just come is spared: its first txn may be on its way, and would fail."""
         now, bounds = self.clock(), self.bounds
-        free = [c for c in self.clients if not (c.exchange or c.over or c.stuck)
+        free = [c for c in self.clients if not (c.busy or c.over or c.stuck)
                 and (c.fresh and now - c.since > bounds.silent_least or not c.fresh and not c.begun)]
         if not free:
             return False
@@ -245,7 +274,7 @@
     def spread(self, client):
         """Guards the usual clients against those that ask once and keep their connection: clients hold a third
         of the descriptors at most, and a txn that finds no connection there never reaches us."""
-        idle = [c for c in self.clients if not (c.fresh or c.exchange or c.begun or c.over or c.stuck)
+        idle = [c for c in self.clients if not (c.fresh or c.busy or c.begun or c.over or c.stuck)
                 and c is not client]
         if idle:
             self.counts["clients_shed"] += 1
@@ -269,9 +298,9 @@
             elif c.begun and age > b.read_wait:
                 self.counts["slow"] += 1
                 c.refuse(Unfit(408, "the txn never became whole"))
-            elif not c.exchange and not c.begun and age > (b.silent_wait if c.fresh else b.client_idle):
+            elif not c.busy and not c.begun and age > (b.silent_wait if c.fresh else b.client_idle):
                 c.end()
-            elif self.draining and not c.exchange and not c.begun and (not c.fresh or age > b.drain_silent):
+            elif self.draining and not c.busy and not c.begun and (not c.fresh or age > b.drain_silent):
                 c.end()  # drained: none is held idle, and one that brings nothing goes soon
 
     def ready(self):
@@ -282,7 +311,7 @@
         is closed now. The listener stays: what the clients' front still sends is served."""
         self.draining = True
         for c in list(self.clients):
-            if not (c.exchange or c.begun or c.fresh):
+            if not (c.busy or c.begun or c.fresh):
                 c.end()
 
     def activate(self):
@@ -293,7 +322,7 @@
         self.closing, self.done = True, done
         self.server.close()
         for c in list(self.clients):
-            if not c.exchange and not c.begun:
+            if not c.busy and not c.begun:
                 c.end()
         if not self.clients:
             done()
@@ -417,9 +446,14 @@
 
     # ---- answers out
 
-    def settle(self, exchange, body):
+    def settle(self, exchange, body, relay=None):
         self.counts["settled"] += 1
-        self.out(exchange, b"HTTP/1.1 200 OK\r\n", body, 0)
+        if relay is None:
+            return self.out(exchange, b"HTTP/1.1 200 OK\r\n", body, 0)
+        client, exchange.client = exchange.client, None
+        if client:
+            self.outcomes[exchange.product][0] += 1
+            return client.relay(b"HTTP/1.1 200 OK\r\n", relay, relay.length)
 
     def decline(self, exchange, back_in):
         self.counts["declined"] += 1
--- a/rampfront/net/log.py
+++ b/rampfront/net/log.py
@@ -10,7 +10,7 @@
 import orjson
 
 COUNTED = ("clients", "clients_shed", "taken", "malformed", "pipelined", "slow", "left", "settled",
-           "declined", "voided", "turned_away", "submissions", "dispatches", "resent", "copies", "done", "error", "unseen",
+           "declined", "voided", "turned_away", "submissions", "dispatches", "resent", "copies", "done", "relayed", "error", "unseen",
            "timed_out", "broken", "cancelled", "connects", "connects_failed", "links_shed", "links_short",
            "probes", "probes_failed", "adds", "adds_refused", "adds_timed_out", "counter_connects", "lists",
            "watches", "odd_answers", "faults")
--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -15,7 +15,7 @@
 from .. import terms as t
 
 MS = 10 ** 6
-IDLE, OPENING, WAITING, DEAD = range(4)
+IDLE, OPENING, WAITING, DEAD, RELAYING = range(5)
 CODES = {200: t.DONE, 500: t.ERROR}
 COUNTS = {t.DONE: "done", t.ERROR: "error", t.UNSEEN: "unseen", t.TIMED_OUT: "timed_out", t.BROKEN: "broken",
           t.CANCELLED: "cancelled"}
@@ -34,12 +34,14 @@
 class Link(asyncio.BufferedProtocol):
     """One connection to one app server. `exchange` is None for a probe."""
     __slots__ = ("pool", "target", "transport", "parser", "state", "exchange", "sent_at", "due", "timer",
-                 "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "use", "load", "attempt")
+                 "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "use", "load", "attempt",
+                 "length", "chunked", "large", "relay", "moved")
 
     def __init__(self, pool, target):
         self.pool, self.target, self.state = pool, target, OPENING
         self.transport = self.parser = self.exchange = self.timer = self.task = None
-        self.whole = False
+        self.whole = self.large = False
+        self.relay = None  # the client that the answer goes to as it comes
         self.fed = 0  # bytes of the present answer
 
     # ---- of the loop
@@ -62,7 +64,9 @@
         self.write()
 
     def connection_lost(self, trouble):
-        if self.state == WAITING:
+        if self.state == RELAYING:
+            self.close()  # and so the client's, whose answer is not whole
+        elif self.state == WAITING:
             self.finish(t.BROKEN)
         elif self.state == IDLE:
             self.close()
@@ -81,15 +85,24 @@
             return self.odd("spoke unasked")
         first, trouble, bounds = not self.fed, None, self.pool.bounds
         self.fed += size
+        self.moved = self.pool.clock()
         try:
             self.parser.feed_data(self.pool.buffer[:size])
-            if self.fed > (bounds.wire if self.headed else bounds.head):
+            if self.fed > (bounds.wire if self.headed else bounds.head) and not self.large:
                 # Guards against heads that never end, which the parser gathers until a field of them is whole.
                 trouble = "the answer never ends"
         except httptools.HttpParserUpgrade:
             trouble = "wants to upgrade"
         except httptools.HttpParserError as odd:
             trouble = str(odd.__context__ or odd)
+        if self.large and self.state == WAITING and not trouble:
+            self.begin_relay()
+        if self.state == RELAYING:
+            if trouble:
+                return self.close()
+            if self.whole:
+                self.end_relay()
+            return
         if self.whole:  # not within the parser's callback, where a fault of ours would pass for theirs
             self.conclude(trouble is None)
         elif first and not trouble:
@@ -114,9 +127,14 @@
         if self.whole:
             raise ValueError("an answer too many")
         self.body, self.size, self.not_run, self.units, self.use, self.load = [], 0, False, 0, None, None
+        self.length, self.chunked = None, False
 
     def on_headers_complete(self):
-        self.headed = self.parser.get_status_code() >= 200
+        status = self.parser.get_status_code()
+        self.headed = status >= 200
+        # Guards memory against large answers: a 200 over the body's bound, or of a length not told, is relayed.
+        self.large = (status == 200 and self.exchange is not None and self.exchange.client is not None
+                      and (self.length is None or self.pool.bounds.body < self.length <= self.pool.bounds.relayed))
 
     def on_header(self, name, value):
         if name[:1] in b"xX":
@@ -129,8 +147,73 @@
                 self.use = use(value)
             elif name == b"x-load":
                 self.load = value
+        elif name[:1] in b"cCtT":
+            name = name.lower()
+            if name == b"content-length":
+                self.length = int(value)  # the parser has checked it
+            elif name == b"transfer-encoding":
+                self.chunked = True  # the parser takes no other last coding
+
+    def begin_relay(self):
+        """The answer is settled here: the client gets its head now and the rest as it comes."""
+        pool, exchange, client = self.pool, self.exchange, self.exchange.client
+        if self.timer:
+            pool.timers.call_off(self.timer)
+        self.exchange, self.timer, self.state, self.relay = None, None, RELAYING, client
+        body, self.body = self.body, None
+        pool.counts["relayed"] += 1
+        pool.counts["done"] += 1
+        pool.desk.ended(exchange, self.attempt, self.target.index, t.DONE, pool.clock() - self.sent_at, self.units,
+                        self.use, None, self)
+        if client.feeder is not self:  # it had gone, or was answered otherwise
+            self.relay = None
+            return self.close()
+        for part in body:
+            self.pass_on(part)
+        self.timer = pool.timers.after(pool.bounds.relay_stall, self.stalled)
+
+    def pass_on(self, part):
+        self.size += len(part)
+        if self.size > self.pool.bounds.relayed:
+            raise ValueError("the answer is too large")  # the parser's error: the relay is cut
+        if self.chunked:
+            self.relay.transport.write(b"%x\r\n%s\r\n" % (len(part), part))
+        else:
+            self.relay.transport.write(part)
+
+    def stalled(self):
+        """Guards the client against an app server that stops mid-answer: its connection is cut with ours."""
+        self.timer = None
+        if self.state != RELAYING:
+            return
+        left = self.moved + self.pool.bounds.relay_stall - self.pool.clock()
+        if left > 0 or self.relay and self.relay.stuck:  # it moves, or waits for its client
+            self.timer = self.pool.timers.after(max(left, self.pool.bounds.relay_stall // 4), self.stalled)
+            return
+        self.pool.log.note("odd answer", self.target.uid, why="stops mid-answer")
+        self.close()
+
+    def end_relay(self):
+        self.whole, client, self.relay = False, self.relay, None
+        if self.chunked:
+            client.transport.write(b"0\r\n\r\n")
+        if self.timer:
+            self.pool.timers.call_off(self.timer)
+            self.timer = None
+        client.relayed()
+        if self.parser.should_keep_alive() and self.target.up:
+            self.state, self.since, self.large = IDLE, self.pool.clock(), False
+            self.target.idle.append(self)
+        else:
+            self.close()
 
     def on_body(self, part):
+        if self.large:
+            if self.relay:
+                self.pass_on(part)
+            else:
+                self.body.append(bytes(part))  # what came with the head, until the relay begins
+            return
         self.size += len(part)
         if self.size > self.pool.bounds.body:
             raise ValueError("the answer is too large")
@@ -219,6 +302,11 @@
             return
         if self.state == IDLE and self in self.target.idle:
             self.target.idle.remove(self)
+        if self.relay:  # half an answer: the client's connection is cut, so that it is not taken for whole
+            client, self.relay = self.relay, None
+            client.feeder = None
+            client.over = client.deaf = True
+            client.transport.abort()
         self.state = DEAD
         self.target.links -= 1
         self.pool.links -= 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 
+import httptools
 import orjson
 import pytest
 import uvloop
@@ -665,3 +666,59 @@
     desk.front.retire(loop.stop)
     server.close()
     loop.run_forever()
+
+
+def test_relay(loop):
+    """Large answers on real sockets: relayed as they come, with the app server's length or in chunks, and an
+    answer broken mid-way cuts the client's connection, so that half is never taken for whole."""
+    big = bytes(range(256)) * 4096  # 1 MiB, over the bound of a body read whole
+
+    class AppServer(asyncio.Protocol):
+        def connection_made(self, transport):
+            self.transport = transport
+
+        def data_received(self, data):
+            way = data.split(b"X-Request-Id: ")[1][:1]
+            if way == b"1":
+                self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(big))
+                for k in range(0, len(big), 100000):
+                    loop.call_later(k / 1e7, self.transport.write, big[k:k + 100000])
+            elif way == b"2":
+                self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                for k in range(0, len(big), 300000):
+                    part = big[k:k + 300000]
+                    self.transport.write(b"%x\r\n%s\r\n" % (len(part), part))
+                self.transport.write(b"0\r\n\r\n")
+            else:
+                self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(big) + big[:200000])
+                loop.call_later(0.01, self.transport.abort)
+
+    told = config(1)
+    server = loop.run_until_complete(loop.create_server(AppServer, "127.0.0.1", 0))
+    told["known"]["targets"][0]["endpoint"] = "%s:%d" % server.sockets[0].getsockname()
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        told["listen"] = "%s:%d" % free.getsockname()
+    desk = start(loop, Clock(), launch.read(told, {}), Log("n0", 0, io.BytesIO()))
+
+    async def ask(way):
+        read, write = await asyncio.open_connection(*launch.address(told["listen"]))
+        write.write(b"GET /a HTTP/1.1\r\nX-Request-Id: %d\r\nX-Class: fetch\r\nX-Tier: open\r\nCookie: key=0000000000000001"
+                    b"\r\nX-Deadline-Ms: 900\r\nX-Call-Terms: units=1,spread=2,first=0\r\nConnection: close\r\n\r\n" % way)
+        said = await asyncio.wait_for(read.read(), 5)
+        write.close()
+        return said.partition(b"\r\n\r\n")
+
+    head, _, body = loop.run_until_complete(ask(1))
+    assert head == b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\nConnection: close" and body == big
+    head, _, body = loop.run_until_complete(ask(2))
+    assert head.endswith(b"Transfer-Encoding: chunked\r\nConnection: close")
+    parser = httptools.HttpResponseParser(type("Taker", (), {"on_body": lambda self, part: parts.append(part)})())
+    parts = []
+    parser.feed_data(head + b"\r\n\r\n" + body)
+    assert b"".join(parts) == big
+    head, _, body = loop.run_until_complete(ask(3))
+    assert head.startswith(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576") and len(body) < len(big)
+    assert desk.log.counts["relayed"] == 3 and not desk.front.clients
+    desk.front.retire(loop.stop)
+    server.close()
+    loop.run_forever()
