Relay answers that end with their connection in chunks, not raw

An app server's 200 with neither a length nor chunks ends with its connection; the client was told chunks (length unknown) but got the raw bytes (Link.pass_on keyed on the app server's chunking, not on the length told), and the end of such an answer was taken for a break (Link.connection_lost). Checked: answers with a length or in chunks were framed right. Now what has no length goes out in chunks, and the connection's end ends it. test_relay plays such an answer; without the change its body cannot be parsed.

--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -64,8 +64,8 @@
         self.write()
 
     def connection_lost(self, trouble):
-        if self.state == RELAYING:
-            self.close()  # and so the client's, whose answer is not whole
+        if self.state == RELAYING:  # an answer that ends with its connection is whole; others are cut, with the client
+            self.end_relay() if self.length is None and not self.chunked else self.close()
         elif self.state == WAITING:
             self.finish(t.BROKEN)
         elif self.state == IDLE:
@@ -176,7 +176,7 @@
         self.size += len(part)
         if self.size > self.pool.bounds.relayed:
             raise ValueError("the answer is too large")  # the parser's error: the relay is cut
-        if self.chunked:
+        if self.length is None:  # chunks, or an answer that ends with its connection: in chunks to the client
             self.relay.transport.write(b"%x\r\n%s\r\n" % (len(part), part))
         else:
             self.relay.transport.write(part)
@@ -195,13 +195,13 @@
 
     def end_relay(self):
         self.whole, client, self.relay = False, self.relay, None
-        if self.chunked:
+        if self.length is None:
             client.transport.write(b"0\r\n\r\n")
         if self.timer:
             self.pool.timers.call_off(self.timer)
             self.timer = None
         client.relayed()
-        if self.parser.should_keep_alive() and self.target.up:
+        if self.state == RELAYING and self.parser.should_keep_alive() and self.target.up:
             self.state, self.since, self.large = IDLE, self.pool.clock(), False
             self.target.idle.append(self)
         else:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -689,6 +689,9 @@
                     part = big[k:k + 300000]
                     self.transport.write(b"%x\r\n%s\r\n" % (len(part), part))
                 self.transport.write(b"0\r\n\r\n")
+            elif way == b"4":  # its end is the connection's
+                self.transport.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + big)
+                self.transport.close()
             else:
                 self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(big) + big[:200000])
                 loop.call_later(0.01, self.transport.abort)
@@ -710,15 +713,16 @@
 
     head, _, body = loop.run_until_complete(ask(1))
     assert head == b"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\nConnection: close" and body == big
-    head, _, body = loop.run_until_complete(ask(2))
-    assert head.endswith(b"Transfer-Encoding: chunked\r\nConnection: close")
-    parser = httptools.HttpResponseParser(type("Taker", (), {"on_body": lambda self, part: parts.append(part)})())
-    parts = []
-    parser.feed_data(head + b"\r\n\r\n" + body)
-    assert b"".join(parts) == big
+    for way in (2, 4):
+        head, _, body = loop.run_until_complete(ask(way))
+        assert head.endswith(b"Transfer-Encoding: chunked\r\nConnection: close")
+        parser = httptools.HttpResponseParser(type("Taker", (), {"on_body": lambda self, part: parts.append(part)})())
+        parts = []
+        parser.feed_data(head + b"\r\n\r\n" + body)
+        assert b"".join(parts) == big and body.endswith(b"\r\n0\r\n\r\n")
     head, _, body = loop.run_until_complete(ask(3))
     assert head.startswith(b"HTTP/1.1 200 OK\r\nContent-Length: 1048576") and len(body) < len(big)
-    assert desk.log.counts["relayed"] == 3 and not desk.front.clients
+    assert desk.log.counts["relayed"] == 4 and not desk.front.clients
     desk.front.retire(loop.stop)
     server.close()
     loop.run_forever()
