A relay's time without bytes runs from its client's resume

In Link.stalled the relay counted as silent since its last bytes even when it had only been paused for a slow client: just after the client's resume, before the app server's next bytes were read, the check found over a second without bytes and cut both (Client.resume_writing did not say it). Now pause and resume set the relay's time. Ruled out: the client's own write time-out (5 s stuck), the 64 MB bound, a drain. Harm: none; a relay that is paused is never cut by this check anyway. test_relay_paused fails without it.

--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -113,13 +113,16 @@
             self.transport.pause_reading()
         if self.feeder:  # the app server is read no faster than its client takes it
             self.feeder.transport.pause_reading()
+            self.feeder.moved = self.front.clock()
 
     def resume_writing(self):
         self.stuck, self.since = False, self.front.swept
         if not self.over:
             self.transport.resume_reading()
         if self.feeder:
+            # Guards the relay against being taken for stalled: while it was paused, nothing could come.
             self.feeder.transport.resume_reading()
+            self.feeder.moved = self.front.clock()
 
     @property
     def busy(self):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,6 +18,7 @@
 from rampfront.__main__ import start
 from rampfront.net import launch
 from rampfront.net.desk import Clock
+from rampfront.net.front import Client
 from rampfront.net.log import Log
 from rampfront.net.upstream import shut, units, unread, use
 
@@ -726,3 +727,28 @@
     desk.front.retire(loop.stop)
     server.close()
     loop.run_forever()
+
+
+def test_relay_paused():
+    """A relay that waited for its client is not stalled: its time without bytes runs from the resume."""
+    class Transport:
+        def __init__(self):
+            self.reading = True
+
+        def pause_reading(self):
+            self.reading = False
+
+        def resume_reading(self):
+            self.reading = True
+
+    now = [0]
+    front = type("Front", (), {"clock": lambda self: now[0], "swept": 0})()
+    client, feeder = Client(front), type("Link", (), {})()
+    client.transport, client.over, feeder.transport, feeder.moved = Transport(), False, Transport(), 0
+    client.feeder = feeder
+    now[0] = 5 * 10 ** 9
+    client.pause_writing()
+    assert not feeder.transport.reading and client.stuck
+    now[0] = 9 * 10 ** 9
+    client.resume_writing()
+    assert feeder.transport.reading and feeder.moved == now[0]
