--- a/rampfront/net/bounds.py
+++ b/rampfront/net/bounds.py
@@ -27,9 +27,7 @@
     # bounded number of them, and those that ask once and stay would use it up
     silent_wait: int = 2 * SEC  # and one that has brought no whole txn since it was made
     silent_least: int = 100 * MS  # past `clients`, one that has brought nothing for so long makes room
-    head_wait: int = 3 * SEC  # a head not whole by then is given up: clients may take 2 s for one,
-    body_wait: int = SEC  # and a body not whole by so long after its head,
-    body_pace: int = 32 << 10  # and this long for each of its bytes at this pace (clients give 64 kB a second)
+    read_wait: int = 2 * SEC  # a txn begun but not whole is given up
     write_wait: int = 5 * SEC  # an answer that its client does not take is given up
     expiry_most: int = 600 * SEC  # no client waits longer
     probe_wait: int = 250 * MS
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -14,7 +14,7 @@
 
 from .. import terms as t
 
-MS, SEC = 10 ** 6, 10 ** 9
+MS = 10 ** 6
 LARGEST_KEY = (1 << 33).to_bytes(8, "big")
 KEY = re.compile(rb"(?:^|;)\s*key=([0-9a-fA-F]{16})\s*(?:;|$)")
 TERMS = re.compile(rb"\s*(units|spread|first)\s*=\s*(\d{1,9}(?:\.\d{1,6})?)\s*")
@@ -53,7 +53,7 @@
 class Client(asyncio.BufferedProtocol):
     """One connection of the clients' front; one txn at a time."""
     __slots__ = ("front", "transport", "parser", "url", "fields", "body", "size", "fed", "exchange", "since",
-                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep", "fresh", "feeder", "last", "due")
+                 "begun", "whole", "deaf", "over", "stuck", "crowded", "keep", "fresh", "feeder", "last")
 
     def __init__(self, front):
         self.front = front
@@ -136,8 +136,7 @@
             raise Unfit(400, "one txn at a time")
         self.begun = True
         if not self.fresh:  # else its time runs from the connect: a bad client is turned away within 3 s
-            self.since = self.front.clock()
-        self.due = self.since + self.front.bounds.head_wait
+            self.since = self.front.swept
         self.url, self.fields, self.body, self.size = b"", {}, [], 0
 
     def on_url(self, part):
@@ -157,11 +156,8 @@
     def on_headers_complete(self):
         self.size = 0
         length = self.fields.get(b"content-length", b"0")
-        bounds = self.front.bounds
-        if len(length) > 9 or int(length) > bounds.body:  # the parser leaves nothing but digits
+        if len(length) > 9 or int(length) > self.front.bounds.body:  # the parser leaves nothing but digits
             raise Unfit(413, "the body is too large")
-        # Guards against slow clients taken for bad ones: a body gets its own time, by its length.
-        self.due = max(self.due, self.front.clock() + bounds.body_wait + int(length) * SEC // bounds.body_pace)
         if b"expect" in self.fields:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -302,7 +298,7 @@
                 if age > b.write_wait:
                     self.counts["slow"] += 1
                     c.transport.abort()
-            elif c.begun and now > c.due:
+            elif c.begun and age > b.read_wait:
                 self.counts["slow"] += 1
                 c.refuse(Unfit(408, "the txn never became whole"))
             elif not c.busy and not c.begun and age > (b.silent_wait if c.fresh else b.client_idle):
