--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 import signal
 import socket
+import tomllib
 
 import httptools
 import orjson
@@ -756,3 +757,12 @@
     now[0] = 9 * 10 ** 9
     client.resume_writing()
     assert feeder.transport.reading and feeder.moved == now[0]
+
+
+def test_deploy_run():
+    """The fleet days refuse other programs, fork and io_uring: `run` ends in one exec, with libuv's io_uring off."""
+    with open(os.path.join(os.path.dirname(__file__), "..", "deploy", "balancer.toml"), "rb") as file:
+        run = tomllib.load(file)["run"]
+    steps = [step.strip() for step in run.split(";")]
+    assert steps[-1].startswith("exec ") and "&" not in run and "|" not in run and "$(" not in run
+    assert "export UV_USE_IO_URING=0" in steps[:-1]
