Bytes behind a relayed answer spoil the app server's connection, not the answer

Now the whole answer ends the relay first; the stray bytes then close the app server's connection only. Harm: none seen. test_relay_then_stray fails without it: the client's connection is cut.

--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -98,10 +98,10 @@
         if self.large and self.state == WAITING and not trouble:
             self.begin_relay()
         if self.state == RELAYING:
-            if trouble:
-                return self.close()
-            if self.whole:
+            if self.whole:  # first: what follows a whole answer spoils the connection, not the answer
                 self.end_relay()
+            if trouble:
+                self.odd(trouble) if self.state == IDLE else self.close()
             return
         if self.whole:  # not within the parser's callback, where a fault of ours would pass for theirs
             self.conclude(trouble is None)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -766,3 +766,13 @@
     steps = [step.strip() for step in run.split(";")]
     assert steps[-1].startswith("exec ") and "&" not in run and "|" not in run and "$(" not in run
     assert "export UV_USE_IO_URING=0" in steps[:-1]
+
+
+def test_relay_then_stray():
+    """Bytes behind a relayed answer spoil the app server's connection, not the answer that came whole."""
+    s = Stage()
+    s.ask(1)
+    where = s.out()
+    s.pipes[where].feed("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000 + "HTTP/1.1 200 OK\r\n")
+    assert s.log.counts["relayed"] == 1 and s.log.counts["settled"] == 1
+    assert s.pipes[where].closed and not s.pipes["a"].closed
