--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -35,12 +35,12 @@
     """One connection to one app server. `exchange` is None for a probe."""
     __slots__ = ("pool", "target", "transport", "parser", "state", "exchange", "sent_at", "due", "timer",
                  "task", "since", "whole", "keep", "body", "size", "fed", "headed", "not_run", "units", "use", "load", "attempt",
-                 "length", "chunked", "large", "lazy", "relay", "moved")
+                 "length", "chunked", "large", "relay", "moved")
 
     def __init__(self, pool, target):
         self.pool, self.target, self.state = pool, target, OPENING
         self.transport = self.parser = self.exchange = self.timer = self.task = None
-        self.whole = self.large = self.lazy = False
+        self.whole = self.large = False
         self.relay = None  # the client that the answer goes to as it comes
         self.fed = 0  # bytes of the present answer
 
@@ -132,11 +132,9 @@
     def on_headers_complete(self):
         status = self.parser.get_status_code()
         self.headed = status >= 200
-        # Guards memory against large answers: a 200 over the body's bound is relayed, and one of a length not
-        # told once it grows past that bound. Smaller ones are read whole, and what breaks may go elsewhere.
-        bounds, told = self.pool.bounds, self.length
-        ours = status == 200 and self.exchange is not None and self.exchange.client is not None
-        self.large, self.lazy = ours and told is not None and bounds.body < told <= bounds.relayed, ours and told is None
+        # Guards memory against large answers: a 200 over the body's bound, or of a length not told, is relayed.
+        self.large = (status == 200 and self.exchange is not None and self.exchange.client is not None
+                      and (self.length is None or self.pool.bounds.body < self.length <= self.pool.bounds.relayed))
 
     def on_header(self, name, value):
         if name[:1] in b"xX":
@@ -162,7 +160,7 @@
         if self.timer:
             pool.timers.call_off(self.timer)
         self.exchange, self.timer, self.state, self.relay = None, None, RELAYING, client
-        body, self.body, self.size = self.body, None, 0
+        body, self.body = self.body, None
         pool.counts["relayed"] += 1
         pool.counts["done"] += 1
         pool.desk.ended(exchange, self.attempt, self.target.index, t.DONE, pool.clock() - self.sent_at, self.units,
@@ -218,9 +216,7 @@
             return
         self.size += len(part)
         if self.size > self.pool.bounds.body:
-            if not self.lazy:
-                raise ValueError("the answer is too large")
-            self.large = True  # of a length not told, and past the bound: relayed from here on
+            raise ValueError("the answer is too large")
         self.body.append(part)
 
     def on_message_complete(self):
