--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -52,8 +52,6 @@
 
     def ending():
         log.say("ending")
-        if launch.inherited is None:  # guards new connections against a closed port: the front is told first
-            front.drain()
         desk.timers.after(bounds.serve_on, front.retire, loop.stop)
         desk.timers.after(bounds.drain_most, loop.stop)
 
