Dear probes are fewer, and a txn passes by full app servers that probes told of

Change: Prices.Probe reaches the module; above the usual 0.01 probes go down in step. lawful passes by those full, to the sample.

--- a/rampfront/announced.py
+++ b/rampfront/announced.py
@@ -51,4 +51,4 @@
         tick=ns(setup.get("Tick", 1.0)), cold_share=rules["ColdShare"], warm_within=ns(rules["WarmWithin"]),
         fall_multiple=rules["FallMultiple"], tip_after=ns(rules["TipAfter"]),
         may_copy=limits.get("MayDuplicate", False), use_period=ns(domain.get("UsePeriod", 0)),
-        marks=domain.get("Marks", False))
+        marks=domain.get("Marks", False), probe_fee=setup.get("Prices", {}).get("Probe", 0.0))
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -41,7 +41,7 @@
 GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
-PROBE_SHARE, PROBE_THIN = 0.1, 0.8  # probes for each txn, and more where own txns tell nothing
+PROBE_SHARE, PROBE_THIN, PROBE_FEE = 0.1, 0.8, 0.01  # probes a txn, more where own txns tell nothing, and fee
 LOOKS, HEARD = 16, 4  # app servers looked at for a txn; past so many, those that probes told of come first
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT, MEMORY = 4.0, 8 * SEC  # answers that weigh as much as the fleet's; how often judgements halve
@@ -87,8 +87,9 @@
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
         self.most, self.subscribes, self.copies = terms.max_submissions, terms.subscribes, terms.may_copy
-        self.probes, self.counts, self.advice = terms.may_probe, terms.has_counter, terms.longest_advice
-        self.margin, self.cancels, self.call_wait = 2 * terms.tick, terms.may_cancel, terms.counter_wait
+        self.probes = terms.may_probe * min(1.0, PROBE_FEE / (terms.probe_fee or PROBE_FEE))
+        self.counts, self.advice, self.margin = terms.has_counter, terms.longest_advice, 2 * terms.tick
+        self.cancels, self.call_wait = terms.may_cancel, terms.counter_wait
         self.limit = self.start = OPEN_START / terms.nodes  # submissions out at each app server
         self.cold, self.warm_within, self.span = terms.cold_share, terms.warm_within, terms.tip_after
         self.cold_rate = terms.fall_multiple * COLD_MARGIN * terms.tip_after * log(2) / MEMORY
@@ -169,7 +170,8 @@
         txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, came, expiry, NEW)
         self.beating or self.beat(self.now)
         self.step(txn, ARRIVED)
-        if self.probes and self.up and self.random() < PROBE_SHARE + PROBE_THIN / (1.0 + self.each):
+        share = self.probes * (PROBE_SHARE + PROBE_THIN / (1.0 + self.each))
+        if share and self.up and self.random() < share:
             self.effects.append(t.Probe(self.pick(self.up)[0].id))
 
     def waited(self, line, left):
@@ -233,7 +235,7 @@
             txn.inside = txn.count <= account.quota.most + 1e-6
         else:
             txn.inside = self.random() * (FULL - CALM) < FULL - account.use - PRESS * self.pressed
-        return not (self.worth(txn) and (txn.inside or account.quota.pays and self.roomy(1.0)))
+        return not (self.worth(txn) and (txn.inside or account.quota.pays and self.roomy()))
 
     def unread(self, txn):  # whether a txn waits for its account's count; while calls fail, by chance
         account = txn.account
@@ -294,10 +296,9 @@
         bound = txn.risk_at is not None and line.kind != t.INQUIRY  # rule 2
         if bound and (line.kind == t.ONCE_ONLY or now + self.margin >= txn.risk_at + line.window):
             return []
-        group = line.group if bound else t.ALL
-        some = self.up
+        group, some = line.group if bound else t.ALL, self.up
         if not bound and len(some) > LOOKS:
-            fresh = [s for s in self.heard if s.id != txn.last] if self.each < 1.0 else []
+            fresh = [s for s in self.heard if s.id != txn.last and s.held < self.limit and self.each < 1.0]
             some = fresh or self.sample(some, LOOKS)
         return [s for s in some if s.state == t.UP  # rule 3, without the grace
                 and (group != t.ZONE or s.zone == txn.risk_zone)
@@ -424,11 +425,10 @@
             others = account.quota.cap * (1 - 1 / account.nodes) - 0.5 if account.out else 0.0
         return account.quota.cap <= 0 or account.out + others < account.quota.cap
 
-    def on_level(self, told, account, txn=None):
+    def on_level(self, told, txn):
         if told.how == t.DONE:
+            txn.told, account = True, txn.account
             account.level, account.level_at = max(0.0, told.total - account.out), self.now
-            if txn:
-                txn.told = True
 
     def fresh(self, ledger):
         return self.now - ledger.read_at < STALE * TICK
@@ -443,7 +443,7 @@
                 self.flush(ledger, ledger.now)
         if account.quota.cap > 0 and not account.thin and self.mark(CALL):
             txn.name = self.book(account)[0]
-            self.call(txn.name, 1, EPOCH, self.on_level, account, txn)
+            self.call(txn.name, 1, EPOCH, self.on_level, txn)
 
     def ask_first(self, txn, found):
         """The one txn held for the counter. Adds grow as fast as counts fade, so one total tells all."""
@@ -481,7 +481,7 @@
         chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
         if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
             amount = txn.units * txn.scale * txn.age / chance
-            self.call(txn.name, -round(amount, 4), SEC, self.on_level, txn.account)
+            self.call(txn.name, -round(amount, 4), SEC, self.on_level, txn)
 
     def book(self, account):  # the name of an account's one count, and its age; they turn at spread moments
         life = account.quota.life
@@ -592,9 +592,9 @@
         trust = (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * self.ready(server) / server.pace * trust
 
-    def roomy(self, spare):
+    def roomy(self):  # less than half of the room is out
         self.look()
-        return (spare <= 1.0 or self.saved >= REACH) and self.free > spare * sum(s.out for s in self.up)
+        return self.free > sum(s.out for s in self.up)
 
     def odds(self, server):
         return (server.won + 1.0) / (server.won + server.lost + 2.0)
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -28,7 +28,7 @@
           ("Rules.WarmWithin", NUMBER), ("Rules.FallMultiple", NUMBER), ("Rules.TipAfter", NUMBER))
 OPTIONAL = (("Limits.Keepalive", NUMBER), ("Limits.ConnectTimeout", NUMBER), ("Limits.MaxRetryAfter", NUMBER),
             ("Domain", OBJECT), ("Domain.CountWait", NUMBER), ("Domain.Largest", NUMBER), ("Domain.UsePeriod", NUMBER),
-            ("Domain.Marks", FLAG),
+            ("Domain.Marks", FLAG), ("Prices", OBJECT), ("Prices.Probe", NUMBER),
             ("Limits.MayDuplicate", FLAG), ("Classes[].HardLimit", NUMBER), ("Tick", NUMBER),
             ("Areas", LIST), ("Classes[].RepeatWindow", NUMBER), ("Classes[].LateWorth", NUMBER),
             ("Packages[].PerSecond", NUMBER), ("Packages[].StoreSize", NUMBER), ("Packages[].AtOnce", NUMBER),
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -62,6 +62,7 @@
     tip_after: int
     may_copy: bool = False  # a txn may have two submissions out
     marks: bool = False  # nodes mark the counter, to tell a new or split one
+    probe_fee: float = 0.0  # what one probe for each txn costs, in parts of all value; 0: not told
     use_period: int = 0  # answers tell an account's use over so long; 0: they don't
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -347,6 +347,27 @@
     p.check("probes")
 
 
+def test_dear_probes():
+    """Where the settings tell a fee eight times the usual, probes are an eighth: many nodes pay for them together."""
+    p = Play(servers=60, nodes=300, may_probe=True, probe_fee=0.08)
+    for k in range(200):
+        p.arrive(k, account=f"i{k}", nodes=2)
+        p.wait(500)
+    p.lines = [f"probes for 200 txns: {sum('probes' in line for line in p.lines)}"]
+    p.check("dear_probes")
+
+
+def test_probed_are_full():
+    """Room at the few that probes told of is soon gone in a thin node: a txn then goes to one of the others."""
+    p = Play(servers=60, nodes=40)
+    for k in range(4):
+        p.tell(t.Probed(k, t.DONE, MS, {}))
+    for k in range(6):
+        p.arrive(k, account=f"i{k}", nodes=2)
+    p.lines = [f"{len(p.node.txns)} of 6 sent, {sum(s.out for s in p.node.heard)} of them to those probed"]
+    p.check("probed_are_full")
+
+
 def test_short_expiry_and_leaving():
     """Rule 1: a submission ends before the expiry, however short; a client that left is owed nothing."""
     p = Play()
