Thin accounts get a fading count's noise while there is room; few app servers are kept to

A count that fades exponentially stands at rho of the quota where the quota's own store stands higher: a quota of 8 units used to 0.9 has a deviation of 3 units, so half of its txns found it full. Change: a told count may pass the quota by 0.4 of the root of a typical txn over the quota, less the part that found no room; the weight of the unknown goes from 0.02 to 0.005. Probes and the meter are worded in two lines fewer, same decisions.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -34,6 +34,7 @@
 COARSE = 2.0  # a count whose adds stand for more txns each is one more reading for an account that is metered
 KNOWN = 8 * SEC  # how long what is known of a thin account's use spares the counter calls while it is CALM
 CALM, FULL = 0.8, 1.15  # parts of the quota in use between which ever fewer untold txns are let in
+NOISE = 0.4  # part of a fading count's deviation that a thin account gets, while there is room
 METER_WEIGHT, METER_UNITS = 0.6, 10.0  # most weight of a reading of the meter; units in it that give one
 FADES = 10  # life of a thin account's count, in times that it takes to fade
 EPOCH, LEVEL_FRESH = 4 * SEC, SEC  # life of a count of submissions out at once, and of a reading of it
@@ -41,7 +42,7 @@
 GROWTH = 0.08  # how fast a limit grows: with SLOW it settles at its start if two answers in five are slow
 SLOW = 0.5  # part of the SLA time past which an answer tells of an app server with too much to do
 SPARE_RATE, SPARE_MOST = 0.2, 10.0  # further submissions earned by each first one, and at most saved up
-PROBE_SHARE, PROBE_THIN, PROBE_FEE = 0.1, 0.8, 0.01  # probes a txn, more where own txns tell nothing, and fee
+PROBE_SHARE, PROBE_THIN, PROBE_FEE = 0.1, 8.0, 0.01  # probes a txn, more so where own tell nothing; usual fee
 LOOKS, HEARD = 16, 4  # app servers looked at for a txn; past so many, those that probes told of come first
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT, MEMORY, ABSENT = 4.0, 8 * SEC, 4.0  # answers worth the fleet's; half-life; a failed connect's
@@ -74,6 +75,7 @@
         self.pays, self.costs = plan.beyond_earns > plan.beyond_costs, plan.beyond_costs
         # a thin account has more nodes than its limit has txns; its count at most, its fading, a name's life
         self.most, self.thin_past = plan.burst or plan.at_once, (self.limit or plan.at_once or inf) / typical
+        self.noise = NOISE * sqrt(typical / self.most) if plan.rate > 0 else 1e-6  # of a count that fades
         self.fade = plan.burst / plan.rate * SEC if plan.rate > 0 else inf
         self.life = int(self.fade * FADES) if plan.rate > 0 else EPOCH
         self.idle = int(max(2 * self.window, 2 * EPOCH, self.depth / (self.fill or inf) * SEC))
@@ -87,7 +89,7 @@
         self.lines = [Line(product) for product in terms.products]
         self.quotas = [Quota(plan, terms.largest / 2) for plan in terms.plans]
         self.most, self.subscribes, self.copies = terms.max_submissions, terms.subscribes, terms.may_copy
-        self.probes = terms.may_probe * min(1.0, PROBE_FEE / (terms.probe_fee or PROBE_FEE))
+        self.probes = terms.may_probe * PROBE_SHARE * min(1.0, PROBE_FEE / (terms.probe_fee or PROBE_FEE))
         self.counts, self.advice, self.margin = terms.has_counter, terms.longest_advice, 2 * terms.tick
         self.cancels, self.call_wait = terms.may_cancel, terms.counter_wait
         self.limit = self.start = OPEN_START / terms.nodes  # submissions out at each app server
@@ -167,8 +169,7 @@
         txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, came, expiry, NEW)
         self.beating or self.beat(self.now)
         self.step(txn, ARRIVED)
-        share = self.probes * (PROBE_SHARE + PROBE_THIN / (1.0 + self.each))
-        if share and self.up and self.random() < share:
+        if self.probes and self.up and self.random() < self.probes * (1.0 + PROBE_THIN / (1.0 + self.each)):
             self.effects.append(t.Probe(self.pick(self.up)[0].id))
 
     def waited(self, line, left):
@@ -229,7 +230,7 @@
         if not account.thin:
             txn.inside = self.within(account, txn.units)
         elif txn.told and not (self.sampled(account) and txn.scale > COARSE):
-            txn.inside = txn.count <= account.quota.most + 1e-6
+            txn.inside = txn.count <= account.quota.most * max(1.0, 1.0 + account.quota.noise - self.pressed)
         else:
             txn.inside = self.random() * (FULL - CALM) < FULL - account.use - PRESS * self.pressed
         return not (self.worth(txn) and (txn.inside or account.quota.pays and self.roomy()))
@@ -470,8 +471,7 @@
             units = account.quota.rate * self.period / SEC if account.quota.rate > 0 else METER_UNITS
             weight = min(METER_WEIGHT, units / METER_UNITS)
             account.use += weight * (use - account.use)
-            if weight == METER_WEIGHT:
-                account.read_at = self.now
+            account.read_at = self.now if weight == METER_WEIGHT else account.read_at
 
     def give_back(self, txn):  # what was declined goes out of the count again, and under a cap what has ended
         exact = txn.account.quota.rate <= 0  # a cap
@@ -586,7 +586,7 @@
     def room(self, server):
         """What its limit leaves, by readiness and pace; in a large fleet, few it knows and cold ones."""
         known, free = self.known(server), self.limit - server.held
-        ready, trust = self.ready(server), (0.02 + known * known) / server.load ** (2.0 - 2.0 * known)
+        ready, trust = self.ready(server), (0.005 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * ready / server.pace * (trust if ready >= 1.0 else 1.0)
 
     def roomy(self):  # less than half of the room is out
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -403,6 +403,36 @@
     p.check("replaced_at_once")
 
 
+def test_noise_of_fading_counts():
+    """A count that fades stands higher than what the quota has refilled: a little over, a thin account is let in while
+    there is room, and held to its quota once txns inside theirs find none."""
+    p = Play(nodes=300, servers=200, plans=(t.Plan(2.0, 10.0, 0, 0.0, 0.0, 0.0, 1.2),))
+    for k, (pressed, over) in enumerate(((0.0, 1.06), (0.0, 1.2), (0.2, 1.06))):
+        p.node.pressed = pressed
+        p.adds.clear()
+        p.arrive(k, nodes=200, account=f"a{k}")
+        age = p.node.txns[k].age
+        p.say(f"told {over:.2f} of its quota; found no room {pressed:.0%}")
+        p.count(10.0 * over * age)
+    p.lines = [line for line in p.lines if "adds" not in line]
+    p.check("noise")
+
+
+def test_few_are_kept_to():
+    """Many app servers, few txns: a node keeps to those it knows, so that connections are few and ill ones known."""
+    p, used = Play(servers=60, nodes=40, has_counter=False), set()
+    for k in range(400):
+        p.arrive(k, account=f"e{k}")
+        if k in p.node.txns:
+            used.add(p.sent_to())
+            p.end(k, server=p.sent_to())
+        p.wait(80)
+        if k in (99, 199, 399):
+            p.say(f"{k + 1} txns: {len(used)} app servers met")
+    p.lines = [line for line in p.lines if "met" in line]
+    p.check("few_are_kept_to")
+
+
 def test_short_expiry_and_leaving():
     """Rule 1: a submission ends before the expiry, however short; a client that left is owed nothing."""
     p = Play()
