--- a/rampfront/config.py
+++ b/rampfront/config.py
@@ -88,6 +88,7 @@
     cancel: Annotated[bool, Meta(description="a submission may be called off")] = True
     copies: Annotated[bool, Meta(description="an inquiry-like txn may have two submissions out")] = False
     probes: Annotated[bool, Meta(description="boxes may be probed")] = False
+    probe_fee: Annotated[Least0, Meta(description="what one probe for each txn costs, in parts of all value; past 0.01 probes go down in step")] = 0.0
     retry_after: Annotated[bool, Meta(description="clients are told when to come back")] = True
     longest_retry_after_ms: Annotated[Least0, Meta(description="and no later than that")] = 5000.0
     connect_timeout_ms: Annotated[Positive, Meta(description="a connection to a box is up by then")] = 250.0
@@ -211,6 +212,7 @@
             "PeersTotal": c.fleet.nodes,
             "Domain": {"HasCounter": bool(c.counter), "CountWait": quotas.counter_wait_ms,
                        "Largest": txns.largest_units, "UsePeriod": quotas.use_period_ms, "Marks": quotas.marks},
+            "Prices": {"Probe": txns.probe_fee},
             "Limits": {"AttemptsCap": txns.submissions, "MayCancel": txns.cancel, "MayDuplicate": txns.copies,
                        "Probing": txns.probes, "RetryAfter": txns.retry_after,
                        "MaxRetryAfter": txns.longest_retry_after_ms, "ConnectTimeout": txns.connect_timeout_ms,
