--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -586,7 +586,7 @@
     def room(self, server):
         """What its limit leaves, by readiness and pace; in a large fleet, few it knows and cold ones."""
         known, free = self.known(server), self.limit - server.held
-        ready, trust = self.ready(server), (0.002 + known * known) / server.load ** (2.0 - 2.0 * known)
+        ready, trust = self.ready(server), (0.005 + known * known) / server.load ** (2.0 - 2.0 * known)
         return free * ready / server.pace * (trust if ready >= 1.0 else 1.0)
 
     def roomy(self):  # less than half of the room is out
