Storms: late retries give way longest, advice is the module's own behind a storm

Seen on the laboratory (two nodes, four boxes, 300 txn/s, all refuse for 3 s; emulated): behind the outage a tenth of each second's txns was late. By the rows: nearly all of them polite clients' first tries that were declined once for want of room and told 2 to 5 s. The advice counted txns as waiting that had long settled on the other node. Without a storm (retries few, or the fleet settles) a decline now says what the decision module says; and a retry that is late for its SLA time in any case gives way until nine in ten of what passes settle. The storm's counters stand once, in the log's set; firsts and budget spent are now among them.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -38,7 +38,7 @@
         parts.append(desk.counter)
     if launch.storm:
         from .storm import Storm
-        front.storm = Storm(draw=draw, **launch.storm)
+        front.storm = Storm(draw=draw, counts=log.counts, **launch.storm)
     if launch.syslog:
         from .syslog.recorder import Recorder
         from .syslog.sink import Sink
--- a/rampfront/net/front.py
+++ b/rampfront/net/front.py
@@ -264,7 +264,6 @@
             # Guards against a reconnect wave: its txns are told at once to come back, spread over time.
             client.crowded = True
             self.damped.add(client)
-            self.counts["storm_damped"] += 1
         if len(self.clients) > self.bounds.clients and not self.shed():
             # Guards against more clients than descriptors: with none idle the newest is told to come back.
             client.crowded = True
@@ -409,11 +408,8 @@
         storm, now = self.storm, self.clock()
         exchange.mark = storm.mark(exchange.account, index, key, url, body)
         counted, back_in = storm.arrived(exchange.mark, index, client.fields.get(b"x-retry") == b"1", now)
-        self.counts["storm_repeats"] = storm.counts["repeats"]
         if client in self.damped and back_in is None:
             back_in = storm.advice(0, now)
-        elif back_in is not None:
-            self.counts["storm_shed"] += 1
         if back_in is None:
             return NOTHING if counted and not self.ceilings[plan] else units
         client.fields = client.body = None
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -137,6 +137,7 @@
         if name not in [row["Name"] for row in classes] or not KINDS[NUMBER](value) or value == 0:
             raise Faulty(f"storm.values.{name}", "a number above 0 for a product that there is", value)
     return {"values": [float(values.get(row["Name"], 1.0)) for row in classes],
+            "slas": [ns(row["OnTime"]) for row in classes],
             "share": float(told.get("retry_share", 0.2)), "least": float(told.get("retries_per_s", 10)),
             "window": ns(told.get("window_ms", 30000)), "accepts": float(told.get("accepts_per_s", 500)),
             "longest": ns(told.get("longest_retry_after_ms", 5000))}
--- a/rampfront/net/log.py
+++ b/rampfront/net/log.py
@@ -15,7 +15,8 @@
            "timed_out", "broken", "cancelled", "connects", "connects_failed", "links_shed", "links_short",
            "probes", "probes_failed", "adds", "adds_refused", "adds_timed_out", "counter_connects", "lists",
            "watches", "odd_answers", "faults", "counter_new", "counter_split", "counter_whole",
-           "counter_lost", "counter_found", "storm_repeats", "storm_shed", "storm_damped")
+           "counter_lost", "counter_found", "storm_firsts", "storm_repeats", "storm_shed", "storm_spent",
+           "storm_damped")
 
 
 LEVELS = ("debug", "info", "warning", "error")
--- a/rampfront/storm.py
+++ b/rampfront/storm.py
@@ -8,6 +8,7 @@
   try, as the rules say.
 - Retries are let in out of a budget: `share` of a retry for each first try, and `least` a second whatever comes.
 - In a storm the budget goes to the dearer products first: a retry needs the more of it, the less its product is worth.
+- A retry that comes too late for its SLA time in any case gives way longest: until nearly all that passes settles.
 - Retry-After is what is waiting over what is settled a second, measured, and spread so that no wave comes back as one.
 
 Tables: `Repeats` holds two generations of at most `most` rows, each a window long: emptied by settling and by age.
@@ -19,13 +20,13 @@
 SPREAD = 0.5  # advice is drawn between it and 1 + it, times what was reckoned
 MEASURE = 2 * SEC  # over which rates are measured, about
 CALM, FEW = 0.05, 20.0  # part of tries that are retries, below which there is no storm; tries a second, at least
-
-
-SHORT = 0.5  # part of the tries passed on that settle, below which the fleet is short
+# Part of the tries passed on that settle, below which the fleet is short: for retries that may still be in time, and
+# for those that are late whatever comes.
+SHORT, SHORT_LATE = 0.5, 0.9
 
 
 class Repeats:
-    """Tries that did not settle, lately: mark to [tries, counted]."""
+    """Tries that did not settle, lately: mark to [tries, counted, when the first came]."""
 
     def __init__(self, window, most):
         self.window, self.most, self.turned, self.now, self.past = window, most, 0, {}, {}
@@ -36,13 +37,13 @@
             self.now, self.turned = {}, at
 
     def seen(self, mark, at):
-        """[tries, counted] of a txn that was seen and did not settle; None for a first try."""
+        """The row of a txn that was seen and did not settle; None for a first try."""
         self.turn(at)
         row = self.now.get(mark)
         if row is None and mark in self.past:
             row = self.now[mark] = self.past.pop(mark)
         if row is None:
-            self.now[mark] = [1, False]
+            self.now[mark] = [1, False, at]
             return None
         row[0] += 1
         return row
@@ -93,11 +94,12 @@
 
 
 class Storm:
-    """One node's. `values`: the worth of each product; `draw(low, high)`: the node's chance."""
+    """One node's. `values`, `slas`: the worth and the SLA time of each product; `draw(low, high)`: the node's chance;
+    `counts`: the log's counters, where the `storm_` ones are kept."""
 
-    def __init__(self, values, draw, share=0.2, least=10.0, window=30 * SEC, most=50_000, accepts=500.0,
+    def __init__(self, values, slas, draw, counts, share=0.2, least=10.0, window=30 * SEC, most=50_000, accepts=500.0,
                  longest=5 * SEC):
-        self.draw, self.share, self.longest = draw, share, longest
+        self.draw, self.share, self.longest, self.slas, self.counts = draw, share, longest, slas, counts
         top = max(values)
         self.floors = [1.0 - value / top for value in values]  # part of the budget that a retry leaves to dearer ones
         self.repeats = Repeats(window, most)
@@ -105,7 +107,6 @@
         self.accepts = Bucket(accepts, accepts)
         self.tries, self.retries, self.settles = Rate(), Rate(), Rate()
         self.passed = Rate()  # tries that went on to the decisions
-        self.counts = {"firsts": 0, "repeats": 0, "shed": 0, "spent": 0.0, "damped": 0}
 
     # ---- tries
 
@@ -122,22 +123,23 @@
         row = self.repeats.seen(mark, at)
         self.tries.add(at)
         if row is None and not flagged:
-            self.counts["firsts"] += 1
+            self.counts["storm_firsts"] += 1
             self.budget.level = min(self.budget.depth, self.budget.fill(at) + self.share)
             self.passed.add(at)
             return False, None
         self.retries.add(at)
-        self.counts["repeats"] += 1
+        self.counts["storm_repeats"] += 1
         counted = bool(row and row[1])
-        if not (self.stormy(at) and self.short(at)):
+        late = row is not None and at - row[2] > self.slas[product]
+        if not (self.stormy(at) and self.short(at, SHORT_LATE if late else SHORT)):
             self.passed.add(at)
             return counted, None
         floor = self.floors[product] * 0.5 * self.budget.depth
         if self.budget.fill(at) < 1.0 + floor:
-            self.counts["shed"] += 1
+            self.counts["storm_shed"] += 1
             return counted, self.advice(0, at)
         self.budget.level -= 1.0
-        self.counts["spent"] += 1.0
+        self.counts["storm_spent"] += 1
         self.passed.add(at)
         return counted, None
 
@@ -145,10 +147,11 @@
         """Whether retries are more than a calm day brings."""
         return self.retries.read(at) > CALM * max(FEW, self.tries.read(at))
 
-    def short(self, at):
-        """Whether the fleet settles clearly less than is asked of it. Guards against a storm that outlives its cause:
-        once what is let in settles again, all retries are, and the fleet's own room decides."""
-        return self.settles.read(at) < SHORT * self.passed.read(at)
+    def short(self, at, part):
+        """Whether the fleet settles less than `part` of what is asked of it. Guards against a storm that outlives its
+        cause: once what is let in settles again, all retries are, and the fleet's own room decides. What is late
+        waits longer: else it takes the room of first tries, which are late then too, and so on."""
+        return self.settles.read(at) < part * self.passed.read(at)
 
     def sent(self, mark):
         """A submission of it went out: its units are taken."""
@@ -159,7 +162,11 @@
         self.settles.add(at)
 
     def advice(self, least, at):
-        """When a declined client should come back, ns: what waits over what is settled, spread; `least` at least."""
+        """When a declined client should come back, ns: what waits over what is settled, spread; `least` at least.
+        Without a storm, as the decisions said: guards the polite behind an outage, whose one decline for want of
+        room would else send them away for as long as the txns take that have long settled on another node."""
+        if least and not (self.stormy(at) and self.short(at, SHORT)):
+            return least
         waits = len(self.repeats.now)  # txns, not tries: guards the polite against the haste of those that hammer
         reckoned = waits / max(1.0, self.settles.read(at)) * SEC
         return int(min(self.longest, max(least, 100 * MS, reckoned) * self.draw(SPREAD, 1.0 + SPREAD)))
@@ -170,5 +177,5 @@
         """True if a new connection is within the accept rate; past it, its first txn is declined and it is closed."""
         if self.accepts.take(at):
             return True
-        self.counts["damped"] += 1
+        self.counts["storm_damped"] += 1
         return False
