MQTT front: 3.1.1 and 5.0, on the same core and under the same quotas as HTTP

rampfront/mqtt/: codec and sessions without I/O, topics to txns by configuration, asyncio front. Off without an [mqtt] table.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -31,6 +31,7 @@
     upstream = desk.upstream = Upstream(loop, desk, bounds, launch.reports, log)
     core = desk.core = Core(desk, bounds, launch.names, terms, log)
     front = core.front = Front(loop, core, bounds, log)
+    fronts = core.fronts = [front]
     draw = random.Random(launch.seed ^ 1).uniform
     watch = Discovery(loop, desk, launch.discovery, rev, launch.names.zones, bounds, draw, log)
     parts = [front, upstream, watch, log]
@@ -48,10 +49,17 @@
         settled = told.pop("settled")
         sink = Sink(loop, desk.timers, clock, log, name=launch.name, draw=draw, **told).start()
         desk.record = Recorder(sink, launch.names, settled)
+    if launch.mqtt:
+        from .mqtt.front import Front as Mqtt
+        from .mqtt.topics import Routes
+        fronts.append(Mqtt(loop, core, bounds, log, launch.name, Routes(launch.mqtt["routes"]), launch.mqtt))
+        parts.append(fronts[-1])
     desk.begin()
     desk.listed(True, rows)
     watch.start()
     loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
+    if launch.mqtt:
+        loop.run_until_complete(fronts[-1].listen(*launch.mqtt["address"]))
     if launch.admin:
         admin = Admin(loop, desk, front, bounds, launch.names, log)
         loop.run_until_complete(admin.listen(*launch.admin))
@@ -64,7 +72,7 @@
 
     def ending():
         log.say("ending")
-        desk.timers.after(bounds.serve_on, front.retire, loop.stop)
+        desk.timers.after(bounds.serve_on, core.retire, loop.stop)
         desk.timers.after(bounds.drain_most, loop.stop)
 
     def reread():
--- a/rampfront/config.py
+++ b/rampfront/config.py
@@ -13,6 +13,8 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from .mqtt.codec import Malformed, topic_filter
+
 Least0 = Annotated[float, Meta(ge=0)]
 Positive = Annotated[float, Meta(gt=0)]
 Share = Annotated[float, Meta(gt=0, le=1)]
@@ -138,6 +140,27 @@
         default_factory=dict)
 
 
+class MqttTopic(Part, kw_only=True):
+    """Which txn a PUBLISH under a topic is. The first row that matches is taken."""
+    filter: Annotated[Text, Meta(description="topic filter, with + and # as MQTT has them")]
+    product: Annotated[Text, Meta(description="the product of its txns")]
+    path: Annotated[str, Meta(pattern="^/[!-~]*$", description="asked of the box; {1}, {2}... are the levels under the wildcards")]
+    units: Annotated[Positive, Meta(description="that a txn takes")] = 1.0
+
+
+class MqttTable(Part, kw_only=True):
+    """MQTT 3.1.1 and 5.0 clients. Without this table there is no such front."""
+    listen: Annotated[Place, Meta(description="host:port for MQTT clients")]
+    topics: Annotated[list[MqttTopic], Meta(min_length=1)]
+    plan: Annotated[str, Meta(description="of users that name none; empty: they must")] = ""
+    answers: Annotated[str, Meta(pattern="^[^+#]+$", description="first levels of the topics under which answers are told")] = "answers"
+    connections: Annotated[Count, Meta(description="at most; their descriptors are taken from limits.sockets")] = 256
+    sessions: Annotated[Count, Meta(description="at most, with those whose client is away")] = 1024
+    inflight: Annotated[int, Meta(ge=1, le=65535, description="txns of one client that wait for their answer; it is read no faster")] = 64
+    expiry_ms: Annotated[float, Meta(gt=0, le=600000, description="of a PUBLISH that tells none")] = 10000.0
+    session_expiry_s: Annotated[Least0, Meta(description="longest life of a session whose client is away")] = 3600.0
+
+
 class Config(Part, kw_only=True):
     """One edge node."""
     name: Annotated[Text, Meta(description="of this node, the same after a restart")]
@@ -155,6 +178,7 @@
     log: Logging = Logging()
     syslog: Syslog | None = None
     storm: StormTable | None = None
+    mqtt: MqttTable | None = None
     boxes: list[Box] = field(default_factory=list)
 
 
@@ -176,7 +200,8 @@
         value = getattr(config, key)
         if value and not re.match(r"^[^\s:]+:[1-9][0-9]{0,4}$", value):
             raise BadConfig(f"{key}: should be host:port, not {value!r}")
-    for place in [config.listen, config.discovery, config.counter, config.admin, *(b.endpoint for b in config.boxes)]:
+    for place in [config.listen, config.discovery, config.counter, config.admin, *(b.endpoint for b in config.boxes),
+                  config.mqtt.listen if config.mqtt else ""]:
         if place and int(place.rpartition(":")[2]) > 65535:
             raise BadConfig(f"{place!r}: no such port")
     if config.quotas.marks and not config.counter:
@@ -187,6 +212,18 @@
     for name in config.storm.values if config.storm else ():
         if name not in [product.name for product in config.products]:
             raise BadConfig(f"storm.values.{name}: no such product")
+    for k, topic in enumerate(config.mqtt.topics if config.mqtt else ()):
+        if topic.product not in [product.name for product in config.products]:
+            raise BadConfig(f"mqtt.topics[{k}].product: no such product")
+        try:
+            topic_filter(topic.filter)
+        except Malformed as trouble:
+            raise BadConfig(f"mqtt.topics[{k}].filter: {trouble}") from None
+        wild = len([level for level in topic.filter.split("/") if level in ("+", "#")])
+        if any(not 0 < int(number) <= wild for number in re.findall(r"{(\d+)}", topic.path)):
+            raise BadConfig(f"mqtt.topics[{k}].path: a level that the filter does not have")
+    if config.mqtt and config.mqtt.plan and config.mqtt.plan not in [plan.name for plan in config.plans]:
+        raise BadConfig("mqtt.plan: no such plan")
     for k, box in enumerate(config.boxes):
         if box.zone and box.zone not in config.fleet.zones:
             raise BadConfig(f"boxes[{k}].zone: {box.zone!r} is not among fleet.zones")
@@ -228,6 +265,8 @@
         form["admin_addr"] = c.admin
     if c.storm:
         form["storm"] = msgspec.to_builtins(c.storm)
+    if c.mqtt:
+        form["mqtt"] = msgspec.to_builtins(c.mqtt)
     if c.syslog:
         form["syslog"] = msgspec.to_builtins(c.syslog)
     return form
@@ -331,8 +370,9 @@
              "as before (`RELAY_CONFIG` naming a file that does not end in `.toml`), and its environment variables keep their meaning.", ""]
     tables = ((Config, "top of the file"), (Product, "`[[products]]`"), (Plan, "`[[plans]]`"), (Fleet, "`[fleet]`"),
               (Txns, "`[txns]`"), (Quotas, "`[quotas]`"), (Limits, "`[limits]`"), (Logging, "`[log]`"),
-              (Syslog, "`[syslog]`"), (StormTable, "`[storm]`"), (Box, "`[[boxes]]`"))
-    nested = {"products", "plans", "fleet", "txns", "quotas", "limits", "log", "syslog", "storm", "boxes"}
+              (Syslog, "`[syslog]`"), (StormTable, "`[storm]`"),
+              (MqttTable, "`[mqtt]`"), (MqttTopic, "`[[mqtt.topics]]`"), (Box, "`[[boxes]]`"))
+    nested = {"products", "plans", "fleet", "txns", "quotas", "limits", "log", "syslog", "storm", "mqtt", "boxes"}
     for struct, title in tables:
         lines += [f"## {title}", "", (struct.__doc__ or "").strip(), "", "| key | holds | default | meaning |",
                   "| --- | --- | --- | --- |"]
--- a/rampfront/lab/nodes.py
+++ b/rampfront/lab/nodes.py
@@ -91,6 +91,9 @@
                      "settings": plans.settings(plan)}
         if plan.topology.storm is not None:
             self.told["storm"] = dict(plan.topology.storm)
+        if plan.topology.mqtt is not None:
+            self.mqtt = f"127.0.0.1:{free_port()}"
+            self.told["mqtt"] = {"listen": self.mqtt, **plan.topology.mqtt}
         if plan.topology.collector:
             self.told["syslog"] = {"collector": addresses["collector"], "spill_dir": str(folder / f"spill-{number}"),
                                    **plan.topology.syslog}
--- a/rampfront/lab/plan.py
+++ b/rampfront/lab/plan.py
@@ -65,6 +65,7 @@
     collector: bool = False  # a syslog collector, to which the nodes send their decisions
     syslog: dict[str, Any] = field(default_factory=dict)  # laid over the nodes' syslog table
     storm: dict[str, Any] | None = None  # the nodes' storm table; none: off
+    mqtt: dict[str, Any] | None = None  # the nodes' mqtt table, but for its address; none: off
     root: str = ""  # the checkout whose edge nodes are run, with its .venv; empty: this one
 
 
--- a/rampfront/net/admin.py
+++ b/rampfront/net/admin.py
@@ -116,10 +116,10 @@
 
     def drain(self, caller):
         self.log.say("drain")
-        self.front.drain()
+        self.desk.core.drain()
         caller.reply(200, b"draining")
 
     def activate(self, caller):
         self.log.say("activate")
-        self.front.activate()
+        self.desk.core.activate()
         caller.reply(200, b"taking clients")
--- a/rampfront/net/core.py
+++ b/rampfront/net/core.py
@@ -52,10 +52,11 @@
 
 
 class Core:
-    """`fronts`: those that take clients; each has `ready`, `drain`, `activate`, `retire` and `sweep`."""
+    """`fronts`: those that take clients, set by the program; each has `drain`, `activate` and `retire`."""
 
     def __init__(self, desk, bounds, names, terms, log):
         self.desk, self.bounds, self.log, self.counts, self.clock = desk, bounds, log, log.counts, desk.clock
+        self.fronts = ()
         self.storm = None  # damps retries and reconnects; None: nobody asked for it
         self.said = {}  # X-Call-Terms lately read, and what they mean; emptied when full
         self.products = {name.encode(): (k, terms.products[k]) for name, k in names.products.items()}
@@ -68,6 +69,26 @@
         # An expiry that a call to the counter could outlast is guarded by a timer.
         self.short = terms.counter_wait + 2 * terms.tick + 2 * bounds.margin
 
+    def drain(self):
+        for front in self.fronts:
+            front.drain()
+
+    def activate(self):
+        for front in self.fronts:
+            front.activate()
+
+    def retire(self, done):
+        """Takes nothing new; `done` once every front's clients have their answers and are gone."""
+        left = set(self.fronts)
+
+        def gone(front):
+            left.discard(front)
+            if not left:
+                done()
+
+        for front in self.fronts:
+            front.retire(lambda front=front: gone(front))
+
     # ---- txns in
 
     def take(self, asker, txn_id, product, plan, key, account, expires_in, said, method, url, kind, body, flagged):
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -76,6 +76,7 @@
     levels: dict  # of the log: module to level; the empty module is all others
     syslog: dict | None
     storm: dict | None
+    mqtt: dict | None
 
 
 def check(value, kind, key):
@@ -98,12 +99,12 @@
         walk(check(row, OBJECT, where), rest, kind, needed, where)
 
 
-def place(config, key):
-    value = check(config.get(key), TEXT, key)
+def place(config, key, within=""):
+    value = check(config.get(key), TEXT, within + key)
     try:
         return address(value)
     except ValueError:
-        raise Faulty(key, "host:port", value) from None
+        raise Faulty(within + key, "host:port", value) from None
 
 
 def descriptor(environ):
@@ -164,6 +165,33 @@
             "enterprise": told.get("enterprise", 32473), "settled": told.get("settled", False)}
 
 
+def mqtt(told, names, terms):
+    """What the MQTT front is started with; None: there is none."""
+    if told is None:
+        return None
+    check(told, OBJECT, "mqtt")
+    defaults = {"connections": 256, "sessions": 1024, "inflight": 64, "expiry_ms": 10000.0, "session_expiry_s": 3600.0}
+    told = {"plan": "", "answers": "answers", **defaults, **told}
+    for key in defaults:
+        check(told[key], COUNT if isinstance(defaults[key], int) else NUMBER, f"mqtt.{key}")
+    if told["plan"] and told["plan"] not in names.plans:
+        raise Faulty("mqtt.plan", "a plan that there is", told["plan"])
+    from ..mqtt.codec import Malformed  # its modules are for those who use it
+    from ..mqtt.topics import Route
+    routes = []
+    for k, row in enumerate(check(told.get("topics"), LIST, "mqtt.topics")):
+        if row.get("product") not in names.products or not 0 < row.get("units", 1.0) <= terms.largest:
+            raise Faulty(f"mqtt.topics[{k}]", "a product that there is, and units that one txn may have", row)
+        try:
+            routes.append(Route(row["filter"], row["product"], row["path"], row.get("units", 1.0),
+                                terms.products[names.products[row["product"]]].kind, terms.nodes))
+        except (Malformed, KeyError) as trouble:
+            raise Faulty(f"mqtt.topics[{k}]", "filter, product and path", str(trouble)) from None
+    return {"address": place(told, "listen", "mqtt."), "routes": routes, "plan": told["plan"], "answers": told["answers"],
+            **{key: told[key] for key in ("connections", "sessions", "inflight")}, "expiry": ns(told["expiry_ms"]),
+            "session_expiry": int(told["session_expiry_s"] * 1e9)}
+
+
 def read(config, environ, descriptors=1 << 20):
     check(config, OBJECT, "the configuration")
     told = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
@@ -185,6 +213,9 @@
     sockets = int(min(limits["sockets"], descriptors))
     if sockets < 128:
         raise Faulty("limits.sockets", "128 or more, and the process's own limit too", sockets)
+    heard = mqtt(config.get("mqtt"), names, terms)
+    if heard and sockets - heard["connections"] < 128:
+        raise Faulty("mqtt.connections", f"{sockets - 128} or less, to leave 128 descriptors", heard["connections"])
     seed = config.get("seed", "0")
     try:
         seed = seed if isinstance(seed, int) else int(seed, 16)
@@ -205,10 +236,10 @@
         discovery=place(config, "discovery"),
         counter=place(config, "counter") if terms.has_counter else None,
         seed=seed, known=known, terms=terms, names=names,
-        bounds=bounds.fill(sockets, ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
+        bounds=bounds.fill(sockets - (heard["connections"] if heard else 0), ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
         reports=settings.get("Reporting", {}).get("How", "none") != "none",
         levels=levels(config.get("log") or {}), syslog=syslog(config.get("syslog")),
-        storm=storm(config.get("storm"), settings["Classes"]))
+        storm=storm(config.get("storm"), settings["Classes"]), mqtt=heard)
 
 
 def load(environ=os.environ):
--- a/rampfront/net/log.py
+++ b/rampfront/net/log.py
@@ -16,7 +16,8 @@
            "probes", "probes_failed", "adds", "adds_refused", "adds_timed_out", "counter_connects", "lists",
            "watches", "odd_answers", "faults", "counter_new", "counter_split", "counter_whole",
            "counter_lost", "counter_found", "storm_firsts", "storm_repeats", "storm_shed", "storm_spent",
-           "storm_damped")
+           "storm_damped", "mqtt_clients", "mqtt_refused", "mqtt_malformed", "mqtt_publishes", "mqtt_repeats",
+           "mqtt_strange", "mqtt_answers_dropped")
 
 
 LEVELS = ("debug", "info", "warning", "error")
