Laboratory: streams over MQTT, or turn by turn over both fronts

front = "mqtt" or "both" in a stream; a load worker's publishers stand where its HTTP pools do, so rows, reports and quotas are the same.

--- a/rampfront/lab/client.py
+++ b/rampfront/lab/client.py
@@ -196,7 +196,12 @@
         self.due = due
         self.rows = np.zeros(len(self.due), ROW)
         self.next, self.open, self.worker, self.over = 0, 0, worker, None
-        self.pools = [Pool(self, address, plan.load.connections) for address in targets]
+        targets = [address.partition("/") for address in targets]  # a node's address, and behind a / that for MQTT
+        self.pools = [Pool(self, address, plan.load.connections) for address, _, _ in targets]
+        self.publishers = []
+        if any(stream.front != "http" for stream in plan.load.streams):
+            from .publishers import Publishers
+            self.publishers = [Publishers(self, address) for _, _, address in targets]
         self.heads, self.sets = [], []
         nodes = max(1, plan.topology.nodes)
         for index, (name, stream) in enumerate(accounts(plan)):
@@ -232,7 +237,9 @@
         txn.node = self.rng.choice(self.sets[txn.account])
         txn.deadline = self.clock() + round(self.plan.products[txn.product].expiry_ms * MS)
         txn.timer = self.timers.at(txn.deadline, self.expired, txn)
-        self.pools[txn.node].submit(txn)
+        front = self.plan.load.streams[txn.stream].front
+        mqtt = front == "mqtt" or front == "both" and txn.number % 2
+        (self.publishers if mqtt else self.pools)[txn.node].submit(txn)
 
     def sent(self, txn):
         if txn.tries == 1 and txn.lag < 0:
@@ -328,4 +335,4 @@
     rows = clients.rows[:clients.next]
     np.save(job["out"], rows[rows["tries"] > 0])
     return {"sent": int(clients.next), "ended": int((rows["tries"] > 0).sum()), "open": clients.open,
-            "connections": sum(pool.opened for pool in clients.pools)}
+            "connections": sum(pool.opened for pool in clients.pools + clients.publishers)}
--- a/rampfront/lab/nodes.py
+++ b/rampfront/lab/nodes.py
@@ -91,9 +91,12 @@
                      "settings": plans.settings(plan)}
         if plan.topology.storm is not None:
             self.told["storm"] = dict(plan.topology.storm)
+        self.mqtt = None  # the address of its MQTT front
         if plan.topology.mqtt is not None:
             self.mqtt = f"127.0.0.1:{free_port()}"
             self.told["mqtt"] = {"listen": self.mqtt, **plan.topology.mqtt}
+        if plan.topology.journal is not None:
+            self.told["journal"] = {"dir": str(folder / f"journal-{number}"), **plan.topology.journal}
         if plan.topology.collector:
             self.told["syslog"] = {"collector": addresses["collector"], "spill_dir": str(folder / f"spill-{number}"),
                                    **plan.topology.syslog}
--- a/rampfront/lab/plan.py
+++ b/rampfront/lab/plan.py
@@ -66,6 +66,7 @@
     syslog: dict[str, Any] = field(default_factory=dict)  # laid over the nodes' syslog table
     storm: dict[str, Any] | None = None  # the nodes' storm table; none: off
     mqtt: dict[str, Any] | None = None  # the nodes' mqtt table, but for its address; none: off
+    journal: dict[str, Any] | None = None  # the nodes' journal table, but for its folder; none: off
     root: str = ""  # the checkout whose edge nodes are run, with its .venv; empty: this one
 
 
@@ -119,6 +120,7 @@
     spread: Annotated[int, Meta(ge=0)] = 0  # nodes that an account comes in through; 0: all
     shape: Shape = Shape()
     retries: Retries = Retries()
+    front: Literal["http", "mqtt", "both"] = "http"  # mqtt: as QoS 1 under PRODUCT/ACCOUNT/TXN; both: turn by turn
     from_s: Least0 = 0.0
     until_s: Least0 = 0.0  # 0: the end of the run
 
@@ -210,6 +212,8 @@
             raise BadPlan(f"plans[{k}].burst: a plan with a rate needs one above 0")
     for k, stream in enumerate(plan.load.streams):
         where = f"load.streams[{k}]"
+        if stream.front != "http" and (plan.topology.mqtt is None or not plan.topology.nodes):
+            raise BadPlan(f"{where}.front: no node has an MQTT front without topology.mqtt")
         if stream.plan not in plans:
             raise BadPlan(f"{where}.plan: unknown plan {stream.plan!r}")
         for name in stream.products:
