--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -42,6 +42,17 @@
     if launch.storm:
         from .storm import Storm
         core.storm = Storm(draw=draw, counts=log.counts, **launch.storm)
+    if launch.journal:
+        from .journal.keeper import Keeper
+        from .journal.store import Store
+        told = dict(launch.journal)
+        batch = told.pop("batch")
+        try:
+            store = Store(name=launch.name, **told)
+        except OSError as trouble:
+            raise Faulty("journal.dir", "a folder that this process alone may write to", str(trouble)) from None
+        desk.journal = Keeper(loop, desk.timers, clock, log, store, launch.names, batch)
+        desk.journal.send, desk.journal.refuse = desk.release, desk.refuse
     if launch.syslog:
         from .syslog.recorder import Recorder
         from .syslog.sink import Sink
@@ -118,6 +129,9 @@
     loop.set_exception_handler(fault)
     try:
         desk = start(loop, Clock(), launch, log)
+    except Faulty as trouble:
+        print(f"rampfront: {trouble}", file=sys.stderr)
+        return 2
     except OSError as trouble:
         print("rampfront: cannot listen:", trouble, file=sys.stderr)
         return 1
@@ -127,6 +141,8 @@
     loop.run_forever()
     if desk.record:
         desk.record.sink.close()
+    if desk.journal:
+        desk.journal.close()
     log.totals("exit")
     return 0
 
--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -4,6 +4,7 @@
 that may not be reported (the load tool fell behind). The edge node never imports the laboratory: commands do.
 """
 
+from datetime import datetime, timezone
 from pathlib import Path
 from typing import Annotated, Optional
 
@@ -17,6 +18,9 @@
 report = typer.Typer(help="Reports of experiments: percentiles, outcomes, quota overshoot, plots.", no_args_is_help=True)
 app.add_typer(lab, name="lab")
 app.add_typer(report, name="report")
+journal = typer.Typer(help="The journal of once-only txns: what was sent, where and when, and what became of it.",
+                      no_args_is_help=True)
+app.add_typer(journal, name="journal")
 
 FAILED, WRONG, REFUSED = 1, 2, 3
 PlanFile = Annotated[Path, typer.Argument(help="The experiment file (TOML).", show_default=False)]
@@ -111,6 +115,23 @@
     guarded(serve, told, told.seed if seed is None else seed, log)
 
 
+@lab.command("crash")
+def lab_crash(out: OutFolder, runs: Annotated[int, typer.Option(min=1)] = 50,
+              seed: Annotated[int, typer.Option(min=0)] = 1):
+    """Kill an edge node with a journal at random points, and check it against what the boxes ran. Exit 1 if they disagree."""
+    from .lab import crash
+
+    def act():
+        done = crash.Harness(out, seed).play(runs, typer.echo)
+        crash.save(done, out / "crash.json")
+        for what in done["disagreements"][:20]:
+            typer.echo(what)
+        typer.echo(", ".join(f"{len(v) if isinstance(v, list) else v} {k.replace('_', ' ')}" for k, v in done.items()))
+        raise typer.Exit(FAILED if done["disagreements"] else 0)
+
+    guarded(act)
+
+
 @lab.command("check")
 def lab_check(plan: PlanFile):
     """Check an experiment file and say what it would play."""
@@ -203,6 +224,56 @@
     guarded(act)
 
 
+JournalFolder = Annotated[Path, typer.Argument(help="The journal's folder.", show_default=False)]
+
+
+def journal_of(folder):
+    from .journal import reader
+    if not reader.segments(folder):
+        fail(f"{folder} holds no journal", WRONG)
+    return reader, reader.read(folder)
+
+
+@journal.command("show")
+def journal_show(folder: JournalFolder):
+    """Every submission in order, the starts of the node, and what is damaged."""
+    reader, found = journal_of(folder)
+    for at, node in found.starts:
+        typer.echo(f"{reader.stamp(at)} start of {node}")
+    for entry in found.entries.values():
+        typer.echo(entry.line())
+    for segment, offset, size, why in found.damage:
+        typer.echo(f"damaged: {segment} at {offset}, {size} bytes: {why}")
+    typer.echo(reader.summary(found))
+
+
+@journal.command("query")
+def journal_query(folder: JournalFolder,
+                  txn: Annotated[str, typer.Option("--id", help="X-Request-Id.")] = "",
+                  account: Annotated[str, typer.Option(help="An account's key.")] = "",
+                  box: Annotated[str, typer.Option(help="A box's uid.")] = "",
+                  doubt: Annotated[bool, typer.Option("--doubt", help="Only what may or may not have run.")] = False,
+                  since: Annotated[Optional[datetime], typer.Option(help="UTC.")] = None,
+                  until: Annotated[Optional[datetime], typer.Option(help="UTC.")] = None):
+    """The submissions that fit all that is told. Exit 1 where there is none."""
+    reader, found = journal_of(folder)
+    since, until = (at and int(at.replace(tzinfo=timezone.utc).timestamp() * 1e9) for at in (since, until))
+    rows = reader.chosen(found, txn, account, box, doubt, since, until)
+    for entry in rows:
+        typer.echo(entry.line())
+    raise typer.Exit(0 if rows else FAILED)
+
+
+@journal.command("verify")
+def journal_verify(folder: JournalFolder):
+    """Checks every record. Exit 1 where one is damaged; what is torn or flipped is named with file and offset."""
+    reader, found = journal_of(folder)
+    for segment, offset, size, why in found.damage:
+        typer.echo(f"damaged: {segment} at {offset}, {size} bytes: {why}")
+    typer.echo(reader.summary(found))
+    raise typer.Exit(FAILED if found.damage else 0)
+
+
 @report.command("show")
 def report_show(run: RunFolder):
     """Report a run anew: JSON, plots and some lines of text for each of its repeats."""
--- a/rampfront/config.py
+++ b/rampfront/config.py
@@ -114,7 +114,7 @@
 class Logging(Part, kw_only=True):
     """The log on standard error: JSON, one line an event."""
     level: Annotated[Level, Meta(description="events below it are not written")] = "info"
-    modules: Annotated[dict[str, Level], Meta(description="and by module: counter, discovery, upstream, syslog, node")] = field(
+    modules: Annotated[dict[str, Level], Meta(description="and by module: counter, discovery, upstream, syslog, journal, node")] = field(
         default_factory=dict)
 
 
@@ -140,6 +140,15 @@
         default_factory=dict)
 
 
+class JournalTable(Part, kw_only=True):
+    """A durable journal of once-only txns: recorded before they leave. Without this table there is none."""
+    dir: Annotated[Text, Meta(description="its folder, on a disk that outlives the process; one process writes it")]
+    batch_ms: Annotated[Least0, Meta(description="a record waits so long for others to be made durable with it")] = 2.0
+    segment_mb: Annotated[Positive, Meta(description="size of a file")] = 16.0
+    most_mb: Annotated[Positive, Meta(description="of all files; twice segment_mb or more")] = 256.0
+    keep_s: Annotated[Positive, Meta(description="age at which a file goes")] = 86400.0
+
+
 class MqttTopic(Part, kw_only=True):
     """Which txn a PUBLISH under a topic is. The first row that matches is taken."""
     filter: Annotated[Text, Meta(description="topic filter, with + and # as MQTT has them")]
@@ -179,10 +188,11 @@
     syslog: Syslog | None = None
     storm: StormTable | None = None
     mqtt: MqttTable | None = None
+    journal: JournalTable | None = None
     boxes: list[Box] = field(default_factory=list)
 
 
-MODULES = ("counter", "discovery", "upstream", "syslog", "node")
+MODULES = ("counter", "discovery", "upstream", "syslog", "journal", "node")
 
 
 def check(config):
@@ -222,6 +232,8 @@
         wild = len([level for level in topic.filter.split("/") if level in ("+", "#")])
         if any(not 0 < int(number) <= wild for number in re.findall(r"{(\d+)}", topic.path)):
             raise BadConfig(f"mqtt.topics[{k}].path: a level that the filter does not have")
+    if config.journal and config.journal.most_mb < 2 * config.journal.segment_mb:
+        raise BadConfig("journal.most_mb: should be twice segment_mb or more")
     if config.mqtt and config.mqtt.plan and config.mqtt.plan not in [plan.name for plan in config.plans]:
         raise BadConfig("mqtt.plan: no such plan")
     for k, box in enumerate(config.boxes):
@@ -265,6 +277,8 @@
         form["admin_addr"] = c.admin
     if c.storm:
         form["storm"] = msgspec.to_builtins(c.storm)
+    if c.journal:
+        form["journal"] = msgspec.to_builtins(c.journal)
     if c.mqtt:
         form["mqtt"] = msgspec.to_builtins(c.mqtt)
     if c.syslog:
@@ -371,8 +385,9 @@
     tables = ((Config, "top of the file"), (Product, "`[[products]]`"), (Plan, "`[[plans]]`"), (Fleet, "`[fleet]`"),
               (Txns, "`[txns]`"), (Quotas, "`[quotas]`"), (Limits, "`[limits]`"), (Logging, "`[log]`"),
               (Syslog, "`[syslog]`"), (StormTable, "`[storm]`"),
-              (MqttTable, "`[mqtt]`"), (MqttTopic, "`[[mqtt.topics]]`"), (Box, "`[[boxes]]`"))
-    nested = {"products", "plans", "fleet", "txns", "quotas", "limits", "log", "syslog", "storm", "mqtt", "boxes"}
+              (MqttTable, "`[mqtt]`"), (MqttTopic, "`[[mqtt.topics]]`"),
+              (JournalTable, "`[journal]`"), (Box, "`[[boxes]]`"))
+    nested = {"products", "plans", "fleet", "txns", "quotas", "limits", "log", "syslog", "storm", "mqtt", "journal", "boxes"}
     for struct, title in tables:
         lines += [f"## {title}", "", (struct.__doc__ or "").strip(), "", "| key | holds | default | meaning |",
                   "| --- | --- | --- | --- |"]
--- a/rampfront/net/core.py
+++ b/rampfront/net/core.py
@@ -20,6 +20,7 @@
 
 MS = 10 ** 6
 NOTHING = 1e-9  # units of a try that takes none
+JOURNAL_BACK = 1000 * MS  # when to come back with a once-only txn that cannot be recorded: its next try to write
 LARGEST_KEY = (1 << 33).to_bytes(8, "big")
 TERMS = re.compile(rb"\s*(units|spread|first)\s*=\s*(\d{1,9}(?:\.\d{1,6})?)\s*")
 
@@ -35,10 +36,12 @@
 class Exchange:
     """One txn on its way: what is passed on, who waits for it, where it is out. Its id alone tells it from
     others: while it is open, no second one may go out under that id."""
-    __slots__ = ("client", "id", "head", "body", "txn", "links", "product", "account", "box", "mark")
+    __slots__ = ("client", "id", "head", "body", "txn", "links", "product", "account", "box", "mark",
+                 "number")
 
     def __init__(self, client, txn_id, head, body, product, account=""):
         self.client, self.id, self.head, self.body, self.product = client, txn_id, head, body, product
+        self.number = None  # of the journal's record of what is out
         self.mark = None  # by which a storm knows its repeats
         self.account, self.box = account, None  # box: the app server that its last submission went to
         self.txn = -1
@@ -122,6 +125,13 @@
         if exchange in self.desk.books.txns.of:
             # Guards rule 2 against a second copy that goes out under the id of one that is open.
             raise Unfit(409, "its X-Request-Id is open")
+        if (journal := self.desk.journal) and product.kind == t.ONCE_ONLY:
+            if txn_id in journal.doubted:
+                # Guards rule 2 over a restart: who asks again under the same id is told, nothing runs.
+                raise Unfit(409, "its X-Request-Id may have run before this node's last start")
+            if not journal.may_take():
+                asker.taken(exchange)
+                return self.decline(exchange, JOURNAL_BACK)
         if self.storm:
             units = self.weathered(exchange, asker, index, plan, key, url, body, flagged, units)
             if units is None:
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -85,6 +85,26 @@
                 self.arm()
 
 
+class Held:
+    """A once-only submission whose intent is not durable yet: it stands where its connection will."""
+    __slots__ = ("desk", "exchange", "attempt", "server", "due", "number", "timer")
+
+    def __init__(self, desk, exchange, attempt, server, allow):
+        self.desk, self.exchange, self.attempt, self.server = desk, exchange, attempt, server
+        self.due = desk.clock() + allow
+        # Guards rule 1 against a disk that stands still: what has not left by its end never will.
+        self.timer = desk.timers.at(self.due, self.finish, t.UNSENT)
+
+    def over(self):
+        self.desk.timers.call_off(self.timer)
+        self.exchange.links.pop(self.attempt, None)
+
+    def finish(self, how):
+        if self.desk.journal.call_off(self.number):
+            self.over()
+            self.desk.ended(self.exchange, self.attempt, self.server, how, 0)
+
+
 class Desk:
     """`core`, `upstream` and `counter` are set by the program once they are made."""
 
@@ -93,11 +113,13 @@
         self.timers = Timers(loop, self.clock)
         self.books, self.log, self.counts = Books(), log, log.counts
         self.node = Node(terms, seed, self.clock())
+        self.once_only = [product.kind == t.ONCE_ONLY for product in terms.products]
         self.running, self.queue, self.now = False, deque(), 0
         self.reminders = []  # heap of (latest, due, ref); emptied as they fall due
         self.ride, self.ride_part = ride
         self.alarm, self.alarm_due = None, 0
         self.core = self.upstream = self.counter = None
+        self.journal = None  # holds once-only submissions until they are recorded; None: nobody asked for it
         self.record = None  # takes decisions for the syslog sink; None: nobody asked for them
         self.writers = {t.Submit: self.submit, t.Cancel: self.cancel, t.Decline: self.decline,
                         t.Void: self.void, t.Remind: self.remind, t.Probe: self.probe, t.Add: self.add,
@@ -179,6 +201,9 @@
         txn = exchange.txn
         final = self.books.back(txn, attempt, server, how == t.DONE)
         exchange.links.pop(attempt, None)
+        if exchange.number is not None:
+            self.journal.outcome(exchange.number, how)
+            exchange.number = None
         if self.record and how == t.DONE:
             self.record("settled", exchange)
         if how == t.DONE and exchange.client:
@@ -220,8 +245,28 @@
             self.core.storm.sent(exchange.mark)
         if attempt:
             self.counts["copies" if exchange.links else "resent"] += 1
+        if self.journal and self.once_only[exchange.product]:
+            return self.hold(exchange, attempt, e.server, e.allow)
         self.upstream.submit(exchange, attempt, e.server, e.allow)
 
+    def hold(self, exchange, attempt, server, allow):
+        held = Held(self, exchange, attempt, server, allow)
+        held.number = self.journal.intend(exchange, attempt, self.upstream.uid(server), held)
+        if held.number is None:
+            return self.refuse(held)
+        exchange.links[attempt] = held
+
+    def refuse(self, held):
+        """It cannot be recorded, so it does not leave."""
+        held.over()
+        self.ended(held.exchange, held.attempt, held.server, t.UNSENT, 0)
+
+    def release(self, number, held):
+        """Its intent is durable. A box that drains by now gets nothing: `upstream` says that it was not seen."""
+        held.over()
+        held.exchange.number = number
+        self.upstream.submit(held.exchange, held.attempt, held.server, max(MS, held.due - self.clock()))
+
     def cancel(self, e):
         self.upstream.cancel(self.books.txns.ids[e.txn], e.attempt)
 
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -77,6 +77,7 @@
     syslog: dict | None
     storm: dict | None
     mqtt: dict | None
+    journal: dict | None
 
 
 def check(value, kind, key):
@@ -165,6 +166,20 @@
             "enterprise": told.get("enterprise", 32473), "settled": told.get("settled", False)}
 
 
+def journal(told):
+    """What the journal is started with; None: off."""
+    if told is None:
+        return None
+    check(told, OBJECT, "journal")
+    told = {"batch_ms": 2.0, "segment_mb": 16.0, "most_mb": 256.0, "keep_s": 86400.0, **told}
+    for key in ("batch_ms", "segment_mb", "most_mb", "keep_s"):
+        check(told[key], NUMBER, f"journal.{key}")
+    if told["most_mb"] < 2 * told["segment_mb"]:
+        raise Faulty("journal.most_mb", "twice segment_mb or more", told["most_mb"])
+    return {"folder": check(told.get("dir"), TEXT, "journal.dir"), "batch": ns(told["batch_ms"]),
+            "segment": int(told["segment_mb"] * 1e6), "most": int(told["most_mb"] * 1e6), "keep": told["keep_s"]}
+
+
 def mqtt(told, names, terms):
     """What the MQTT front is started with; None: there is none."""
     if told is None:
@@ -239,7 +254,8 @@
         bounds=bounds.fill(sockets - (heard["connections"] if heard else 0), ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
         reports=settings.get("Reporting", {}).get("How", "none") != "none",
         levels=levels(config.get("log") or {}), syslog=syslog(config.get("syslog")),
-        storm=storm(config.get("storm"), settings["Classes"]), mqtt=heard)
+        storm=storm(config.get("storm"), settings["Classes"]), mqtt=heard,
+        journal=journal(config.get("journal")))
 
 
 def load(environ=os.environ):
--- a/rampfront/net/log.py
+++ b/rampfront/net/log.py
@@ -17,7 +17,7 @@
            "watches", "odd_answers", "faults", "counter_new", "counter_split", "counter_whole",
            "counter_lost", "counter_found", "storm_firsts", "storm_repeats", "storm_shed", "storm_spent",
            "storm_damped", "mqtt_clients", "mqtt_refused", "mqtt_malformed", "mqtt_publishes", "mqtt_repeats",
-           "mqtt_strange", "mqtt_answers_dropped")
+           "mqtt_strange", "mqtt_answers_dropped", "journal_records", "journal_writes", "journal_refused")
 
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -29,7 +29,9 @@
     "configuration kept": ("node", "error"), "syslog": ("syslog", "info"),
     "syslog collector there": ("syslog", "info"), "syslog collector away": ("syslog", "warning"),
     "syslog messages dropped": ("syslog", "error"), "syslog spill": ("syslog", "error"),
-    "syslog spill damaged": ("syslog", "error")}
+    "syslog spill damaged": ("syslog", "error"),
+    "journal": ("journal", "warning"), "journal read": ("journal", "info"), "journal damaged": ("journal", "error"),
+    "journal": ("journal", "warning"), "journal read": ("journal", "info"), "journal damaged": ("journal", "error")}
 
 
 class Log:
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -239,7 +239,7 @@
     client = f.client(version)
     client.subscribe("answers/agent/#", 1)
     mids = [client.publish(f"{what}/0/{k}", b"entry" if what != "fetch" else b"", qos=k % 3).mid
-            for k, what in enumerate(("fetch", "publish", "ledger") * 4)]
+            for k, what in enumerate(("fetch", "publish", "ledger-entry") * 4)]
     mids.append(client.publish("no/such", b"", qos=1).mid)
     until(lambda: len(client.got) == 13 and len(client.acks) == 13)
     said = [message.topic.rsplit("/", 1)[1] for message in client.got]
@@ -299,7 +299,7 @@
     with deaf_proxy(int(f.nodes[0].mqtt.rpartition(":")[2]), lost) as (port, cut):
         client = f.client(paho.MQTTv311, clean=False, port=port)
         lost.set()
-        mids = [client.publish(f"ledger/0/{k}", b"x", qos=qos).mid for k in range(5)]
+        mids = [client.publish(f"ledger-entry/0/{k}", b"x", qos=qos).mid for k in range(5)]
         until(lambda: f.lab.state()["once_only"]["runs"] == 5)
         time.sleep(0.1)
         assert not client.acks
@@ -318,7 +318,7 @@
     f.fault(hang=True)  # all run, no answer comes
     client = f.client(paho.MQTTv311, clean=False, port=first)
     mids = [client.publish(f"{what}/0/{k}", b"" if what == "fetch" else b"x", qos=1 + k % 2).mid
-            for k, what in enumerate(("ledger", "ledger", "publish", "fetch"))]
+            for k, what in enumerate(("ledger-entry", "ledger-entry", "publish", "fetch"))]
     until(lambda: sum(box.counts["hung"] for box in f.lab.boxes) >= 4)
     f.nodes[0].process.send_signal(signal.SIGKILL)
     f.nodes[0].process.wait()
@@ -394,7 +394,7 @@
 def test_a_client_is_read_no_faster_than_its_txns_end_and_sigterm_waits_for_them(fleet):
     f = fleet(mqtt={**read_plan(PLAN).topology.mqtt, "inflight": 4})
     client = f.client(paho.MQTTv5)
-    mids = [client.publish(f"ledger/0/{k}", b"x", qos=k % 2).mid for k in range(300)]
+    mids = [client.publish(f"ledger-entry/0/{k}", b"x", qos=k % 2).mid for k in range(300)]
     until(lambda: len(client.acks) == 300)
     assert f.lab.state()["once_only"] == {"txns": 300, "runs": 300, "twice": {}} and len(mids) == 300
     assert max(box.station.most_working for box in f.lab.boxes) <= 4
