--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -306,5 +306,14 @@
     plots.quotas(sides, plot, account)
 
 
+@report.command("recovery")
+def report_recovery(runs: Annotated[list[Path], typer.Argument(help="Folders of runs; their first repeats are drawn.")],
+                    plot: Annotated[Path, typer.Option(help="Where to draw it.")]):
+    """Draw the share of txns settled in time over time, several runs in one plot."""
+    from .lab import plots, report as reports
+    sides = guarded(lambda: {run.name: reports.summarize(reports.repeats(run)[0]) for run in runs})
+    plots.recovery(sides, plot)
+
+
 def main(args=None):
     app(args=args, prog_name="rampfront")
--- a/rampfront/lab/plots.py
+++ b/rampfront/lab/plots.py
@@ -96,6 +96,24 @@
     return finish(figure, path)
 
 
+def recovery(sides, path, title=""):
+    """Share of each second's txns that were settled within their SLA time. `sides`: label to report."""
+    figure, axes = plt.subplots(figsize=(9, 3.6))
+    for label, report in sides.items():
+        series = report["series"]
+        share = [on_time / max(1, offered) for on_time, offered in zip(series["on_time"], series["offered"])]
+        axes.plot(np.arange(len(share)) + 0.5, share, label=label)
+    first = next(iter(sides.values()))
+    shade(axes, first["faults"], first["seconds"])
+    axes.set_ylim(0, 1.05)
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("settled in time, share of the second")
+    axes.set_title(title)
+    axes.legend(fontsize=8)
+    axes.grid(alpha=0.3)
+    return finish(figure, path)
+
+
 def comparison(said, path):
     """Differences with their intervals, each over its own scale."""
     rows = [row for row in said["rows"] if row["half"] is not None]
