--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -115,6 +115,18 @@
     guarded(serve, told, told.seed if seed is None else seed, log)
 
 
+@lab.command("journal")
+def lab_journal(out: OutFolder, batches: Annotated[str, typer.Option(help="ms, with commas.")] = "1,2,5",
+                counts: Annotated[str, typer.Option(help="Records, with commas.")] = "10000,100000,1000000"):
+    """Measure the journal alone on the disk of OUT: appends a second by batch, and how long a start reads it."""
+    from .lab import journals
+    for batch in batches.split(","):
+        for waiting in (16, 64, 256):
+            typer.echo(journals.appends(out / "appends", float(batch), waiting))
+    for count in counts.split(","):
+        typer.echo(journals.start_time(out / "start", int(count)))
+
+
 @lab.command("crash")
 def lab_crash(out: OutFolder, runs: Annotated[int, typer.Option(min=1)] = 50,
               seed: Annotated[int, typer.Option(min=0)] = 1):
--- a/rampfront/journal/keeper.py
+++ b/rampfront/journal/keeper.py
@@ -20,8 +20,8 @@
         self.products = {index: name for name, index in names.products.items()}
         self.batch, self.retry, self.most = batch, retry, outcomes_most
         self.rules, self.number = Ahead(), store.index.last
-        self.intents, self.held = [], {}  # intents of the next write: numbers; number to what waits for it
-        self.records = []  # (number, packed) of the next write, in order; bounded by the rules and `most`
+        self.held = {}  # number of an intent to what waits for it; emptied by the ends of writes
+        self.records = []  # (number of an intent or None, record) of the next write; bounded by the rules and `most`
         self.writing, self.timer = False, None
         self.send = self.refuse = None  # set by the desk
         # Once-only txns that may have run before this start, by id: these are not taken again.
@@ -42,7 +42,6 @@
             return None
         record = (r.INTENT, self.number, self.clock(), exchange.id.decode("latin-1"), self.products[exchange.product],
                   exchange.account, box, attempt)
-        self.store.index.add(record)
         self.held[self.number] = what
         self.put(self.number, record)
         return self.number
@@ -53,15 +52,13 @@
     def outcome(self, number, how):
         """A submission ended. What may have run stays in doubt, and is said so once it is known to."""
         word = r.SETTLED if how == t.DONE else r.NOT_RUN if how in NOT_RUN else r.DOUBT
-        record = (r.OUTCOME, number, self.clock(), word)
-        self.store.index.add(record)
         if len(self.records) < self.most:  # past it the txn is in doubt after a crash, which is the safe side
-            self.put(None, record)
+            self.put(None, (r.OUTCOME, number, self.clock(), word))
 
     # ---- writes
 
     def put(self, number, record):
-        self.records.append((number, r.pack(record)))
+        self.records.append((number, record))
         if not self.writing and self.timer is None:
             wait = self.retry if self.rules.state == FULL else self.batch
             self.timer = self.timers.after(wait, self.write)
@@ -70,7 +67,7 @@
         self.timer, self.writing = None, True
         batch, self.records = self.records, []
         touched = [number for number, _ in batch if number is not None]
-        done = self.store.thread.submit(self.store.append, [packed for _, packed in batch], touched)
+        done = self.store.thread.submit(self.store.append, [r.pack(record) for _, record in batch], touched)
         done.add_done_callback(lambda done: self.loop.call_soon_threadsafe(self.written, batch, touched, done))
 
     def written(self, batch, numbers, done):
@@ -79,18 +76,18 @@
         if trouble is None:
             self.counts["journal_records"] += len(batch)
             self.counts["journal_writes"] += 1
+            for _, record in batch:  # not sooner: compaction goes by what stands on the disk
+                self.store.index.add(record)
         elif not isinstance(trouble, OSError):
             self.log.note("fault", "journal", trouble=repr(trouble))
         effects, news = self.rules.ended(FAILED if trouble else WROTE, numbers)
         if news:
             self.log.say("journal", state=self.rules.state, why=str(trouble or ""))
         if trouble:
-            for number in numbers:  # nothing of them stands on the disk, and none has left
-                self.store.index.doubts.pop(number, None)
-            kept = [row for row in batch if row[0] is None][:self.most]
-            self.records = kept + self.records
+            # The intents of it are nowhere, and none has left; outcomes are tried again.
+            self.records = [row for row in batch if row[0] is None][:self.most] + self.records
             if not self.records:  # guards against a journal that is never tried again for want of anything to write
-                self.records.append((None, r.pack((r.START, self.clock(), self.store.name))))
+                self.records.append((None, (r.START, self.clock(), self.store.name)))
         for number, effect in effects:
             what = self.held.pop(number)
             if effect == SEND:
@@ -106,11 +103,11 @@
             self.timer = self.timers.after(self.retry if self.rules.state == FULL else self.batch, self.write)
 
     def close(self):
-        """Writes what is left; the loop has stopped."""
+        """Writes the outcomes that are left; the loop has stopped, so an intent that still waits never leaves."""
         self.store.thread.shutdown()
         try:
-            if self.records:
-                self.store.append([packed for _, packed in self.records])
+            if left := [r.pack(record) for number, record in self.records if number is None]:
+                self.store.append(left)
         except OSError as trouble:
             self.log.say("journal", state=FULL, why=str(trouble))
         self.store.close()
--- /dev/null
+++ b/rampfront/lab/journals.py
@@ -0,0 +1,75 @@
+"""Measures the journal alone, on this machine's disk: appends a second at each batch, and how long a start reads."""
+
+import shutil
+import time
+from pathlib import Path
+
+import numpy as np
+import uvloop
+
+from ..journal import records as r
+from ..journal.keeper import Keeper
+from ..journal.store import Store
+from ..net.desk import Clock, Timers
+from ..net.log import Log
+
+MS, SEC = 10 ** 6, 10 ** 9
+
+
+class Names:
+    products = {"ledger-entry": 0}
+
+
+class Exchange:
+    id, product, account = b"6b0f6a4e-6c0b-4d3a-9f57-3f2d8a0b9c11", 0, "00000000b4d65521"
+
+
+def appends(folder, batch_ms, waiting=64, seconds=3.0):
+    """Closed loop: `waiting` txns at a time, each noted, durable, ended, and the next. Intents made durable a second, and
+    how long they waited (ms)."""
+    shutil.rmtree(folder, ignore_errors=True)
+    loop, clock, waits = uvloop.new_event_loop(), Clock(), []
+    log = Log("lab", 10 ** 10, open("/dev/null", "wb"))
+    keeper = Keeper(loop, Timers(loop, clock), clock, log, Store(folder, "lab"), Names, round(batch_ms * MS))
+    end = clock() + round(seconds * SEC)
+
+    def begin():
+        keeper.intend(Exchange, 0, "box-1", clock())
+
+    def sent(number, since):
+        now = clock()
+        waits.append((now - since) / MS)
+        keeper.outcome(number, 0)
+        begin() if now < end else loop.stop()
+
+    keeper.send, keeper.refuse = sent, lambda since: loop.stop()
+    for _ in range(waiting):
+        begin()
+    loop.run_forever()
+    writes = log.counts["journal_writes"]
+    keeper.close()
+    loop.close()
+    p50, p99 = np.percentile(waits, (50, 99))
+    return {"batch_ms": batch_ms, "waiting": waiting, "appends_per_s": round(len(waits) / seconds),
+            "records_per_write": round(log.counts["journal_records"] / max(1, writes), 1),
+            "p50_ms": round(float(p50), 2), "p99_ms": round(float(p99), 2)}
+
+
+def start_time(folder, count, doubts=100):
+    """Seconds that a start reads a journal of `count` records; `doubts` of them intents without an outcome."""
+    shutil.rmtree(folder, ignore_errors=True)
+    store = Store(folder, "lab", most=1 << 40)
+    for first in range(0, count, 2000):
+        packed = []
+        for number in range(first // 2, min(count, first + 2000) // 2):
+            packed.append(r.pack((r.INTENT, number, number, Exchange.id.decode(), "ledger-entry", Exchange.account, "box-1", 0)))
+            if number >= doubts:
+                packed.append(r.pack((r.OUTCOME, number, number + MS, r.SETTLED)))
+        store.append(packed)
+    store.close()
+    size, begun = sum(path.stat().st_size for path in Path(folder).iterdir()), time.perf_counter()
+    again = Store(folder, "lab", most=1 << 40)
+    took = time.perf_counter() - begun
+    assert len(again.index.doubts) == min(doubts, count // 2)
+    again.close()
+    return {"records": count, "mb": round(size / 1e6, 1), "start_s": round(took, 3)}
--- a/rampfront/mqtt/front.py
+++ b/rampfront/mqtt/front.py
@@ -438,7 +438,11 @@
             session.dropped = 0
         if link := session.link:
             for pid, topic, payload, more in session.due():
-                link.write(c.publish(link.version, topic, payload, 1, pid, **more))
+                data = c.publish(link.version, topic, payload, 1, pid, **more)
+                if len(data) > link.largest:  # the client told that it takes none so large, and would never confirm it
+                    session.acked(pid)
+                    self.counts["mqtt_answers_dropped"] += 1
+                link.write(data)
 
 
 READ = {c.PUBLISH: Front.publish, c.PUBACK: Front.acked, c.PUBREL: Front.released, c.SUBSCRIBE: Front.subscribe,
