--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -123,6 +123,8 @@
     for batch in batches.split(","):
         for waiting in (16, 64, 256):
             typer.echo(journals.appends(out / "appends", float(batch), waiting))
+    for size in (1, 16, 64):
+        typer.echo(journals.batches(out / "batches", size))
     for count in counts.split(","):
         typer.echo(journals.start_time(out / "start", int(count)))
 
--- a/rampfront/lab/journals.py
+++ b/rampfront/lab/journals.py
@@ -1,6 +1,7 @@
 """Measures the journal alone, on this machine's disk: appends a second at each batch, and how long a start reads."""
 
 import shutil
+import sqlite3
 import time
 from pathlib import Path
 
@@ -55,6 +56,39 @@
             "p50_ms": round(float(p50), 2), "p99_ms": round(float(p99), 2)}
 
 
+def batches(folder, size, seconds=2.0):
+    """Batches a second made durable one behind the other, `size` intents each: our segments, and SQLite in WAL mode
+    with synchronous=FULL."""
+    shutil.rmtree(folder, ignore_errors=True)
+    store = Store(Path(folder) / "own", "lab")
+    base = sqlite3.connect(Path(folder) / "journal.db", isolation_level=None)
+    base.execute("PRAGMA journal_mode=WAL")
+    base.execute("PRAGMA synchronous=FULL")
+    base.execute("CREATE TABLE intent (number INTEGER PRIMARY KEY, at INTEGER, txn TEXT, product TEXT, account TEXT, "
+                 "box TEXT, attempt INTEGER, ended INTEGER, how INTEGER)")
+    rows = [(k, k, Exchange.id.decode(), "ledger-entry", Exchange.account, "box-1", 0) for k in range(size)]
+
+    def own(k):
+        store.append([r.pack((r.INTENT, k * size + row[0], *row[1:])) for row in rows])
+
+    def sqlite(k):
+        base.execute("BEGIN")
+        base.executemany("INSERT INTO intent VALUES (?, ?, ?, ?, ?, ?, ?, NULL, NULL)",
+                         [(k * size + row[0], *row[1:]) for row in rows])
+        base.execute("COMMIT")
+
+    said = {"batch": size}
+    for what in (own, sqlite):
+        begun, k = time.perf_counter(), 0
+        while time.perf_counter() - begun < seconds:
+            what(k)
+            k += 1
+        said[what.__name__ + "_per_s"] = round(k / (time.perf_counter() - begun))
+    store.close()
+    base.close()
+    return said
+
+
 def start_time(folder, count, doubts=100):
     """Seconds that a start reads a journal of `count` records; `doubts` of them intents without an outcome."""
     shutil.rmtree(folder, ignore_errors=True)
