--- a/rampfront/storm.py
+++ b/rampfront/storm.py
@@ -8,7 +8,8 @@
   try, as the rules say.
 - Retries are let in out of a budget: `share` of a retry for each first try, and `least` a second whatever comes.
 - In a storm the budget goes to the dearer products first: a retry needs the more of it, the less its product is worth.
-- A retry that comes too late for its SLA time in any case gets no more than the budget as long as retries are many.
+- A retry that comes too late for its SLA time in any case gets no more than the budget as long as retries are many, and
+  that only while nearly all that passes settles.
 - Retry-After is what is waiting over what is settled a second, measured, and spread so that no wave comes back as one.
 
 Tables: `Repeats` holds two generations of at most `most` rows, each a window long: emptied by settling and by age.
@@ -20,7 +21,7 @@
 SPREAD = 0.5  # advice is drawn between it and 1 + it, times what was reckoned
 MEASURE = 2 * SEC  # over which rates are measured, about
 CALM, FEW = 0.05, 20.0  # part of tries that are retries, below which there is no storm; tries a second, at least
-SHORT = 0.5  # part of the tries passed on that settle, below which the fleet is short
+SHORT, FULL = 0.5, 0.9  # parts of the tries passed on that settle, below which the fleet is short, and has no room to spare
 
 
 class Repeats:
@@ -129,11 +130,11 @@
         self.counts["storm_repeats"] += 1
         counted = bool(row and row[1])
         late = row is not None and at - row[2] > self.slas[product]
-        if not (self.stormy(at) and (late or self.short(at))):
+        if not (self.stormy(at) and (late or self.short(at, SHORT))):
             self.passed.add(at)
             return counted, None
         floor = self.floors[product] * 0.5 * self.budget.depth
-        if self.budget.fill(at) < 1.0 + floor:
+        if self.budget.fill(at) < 1.0 + floor or late and self.short(at, FULL):
             self.counts["storm_shed"] += 1
             return counted, self.advice(0, at)
         self.budget.level -= 1.0
@@ -145,11 +146,12 @@
         """Whether retries are more than a calm day brings."""
         return self.retries.read(at) > CALM * max(FEW, self.tries.read(at))
 
-    def short(self, at):
-        """Whether the fleet settles clearly less than is asked of it. Guards against a storm that outlives its cause:
-        once what is let in settles again, retries that may be in time are let in, and the fleet's own room decides.
-        Not so what is late: it would take the room of first tries, which are late then too, and so on."""
-        return self.settles.read(at) < SHORT * self.passed.read(at)
+    def short(self, at, part):
+        """Whether the fleet settles less than `part` of what is asked of it. Guards against a storm that outlives its
+        cause: once what is let in settles again, retries that may be in time are let in, and the fleet's own room
+        decides. What is late gets the budget, and that only while nearly all settles: else it takes the room of first
+        tries, which are late then too, and so on."""
+        return self.settles.read(at) < part * self.passed.read(at)
 
     def sent(self, mark):
         """A submission of it went out: its units are taken."""
@@ -163,7 +165,7 @@
         """When a declined client should come back, ns: what waits over what is settled, spread; `least` at least.
         Without a storm, as the decisions said: guards the polite behind an outage, whose one decline for want of
         room would else send them away for as long as the txns take that have long settled on another node."""
-        if least and not (self.stormy(at) and self.short(at)):
+        if least and not (self.stormy(at) and self.short(at, SHORT)):
             return least
         waits = len(self.repeats.now)  # txns, not tries: guards the polite against the haste of those that hammer
         reckoned = waits / max(1.0, self.settles.read(at)) * SEC
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -63,19 +63,21 @@
             assert s.arrived(("a", 0, k), 0, True, T + k * SEC // 100)[1] is None
 
 
-def test_late_retries_get_the_budget_alone_as_long_as_retries_are_many():
-    s = one(share=0.0, least=0.0)
-    s.budget = storm.Bucket(0.0, 0.0)
-    let = {"in time": [], "late": []}
-    for k in range(400):  # seven in ten settle
-        at = T + k * SEC // 50
-        s.arrived(("a", 0, k), 0, False, at)
-        if k % 10 < 7:
-            s.settled(("a", 0, k), at)
-        elif k > 200:
-            let["in time"].append(s.arrived(("a", 0, k - 10), 0, True, at)[1] is None)  # 0.2 s behind its first
-            let["late"].append(s.arrived(("a", 0, k - 50), 0, True, at)[1] is None)  # 1 s
-    assert all(let["in time"]) and not any(let["late"][10:])  # by then it is known for a storm
+def test_late_retries_wait_until_nearly_all_settles_and_then_get_the_budget_alone():
+    for part, share in ((7, 0.2), (10, 0.0)):  # seven in ten settle, and there is budget; all do, and there is none
+        s = one(share=share, least=0.0)
+        s.budget = storm.Bucket(0.0, 100.0 * share)
+        let = {"in time": [], "late": []}
+        for k in range(400):
+            at = T + k * SEC // 50
+            s.arrived(("a", 0, k), 0, False, at)
+            if k % 10 < part:
+                s.settled(("a", 0, k), at)
+            if k > 200 and k % 10 >= 7:
+                for what, old in (("in time", 10), ("late", 50)):  # 0.2 s behind its first try, and 1 s
+                    s.repeats.now[("a", 0, -k)] = [1, True, at - old * SEC // 50]
+                    let[what].append(s.arrived(("a", 0, -k), 0, True, at)[1] is None)
+        assert all(let["in time"]) and not any(let["late"][10:])  # by then it is known for a storm
 
 
 def test_advice_is_what_waits_over_what_settles():
