--- a/rampfront/journal/store.py
+++ b/rampfront/journal/store.py
@@ -7,6 +7,7 @@
 """
 
 import fcntl
+import gc
 import os
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -46,16 +47,20 @@
     def recover(self):
         """Reads all segments; all damage is kept to be named. A torn tail stays as it is: what follows goes to a segment
         of its own."""
-        paths = segments(self.folder)
-        for path in paths:
-            data = path.read_bytes()
-            found = r.scan(data)
-            self.damage += [(path.name, *row) for row in found.damage]
-            self.sizes[path], self.touched[path] = len(data), set()
-            for _, record in found.records:
-                self.index.add(record)
-                if record[0] == r.INTENT:
-                    self.touched[path].add(record[1])
+        paths, collects = segments(self.folder), gc.isenabled()
+        gc.disable()  # it would look through a million live records again and again: half of a start's time
+        try:
+            for path in paths:
+                data = path.read_bytes()
+                found = r.scan(data)
+                self.damage += [(path.name, *row) for row in found.damage]
+                self.sizes[path], self.touched[path] = len(data), set()
+                for _, record in found.records:
+                    self.index.add(record)
+                    if record[0] == r.INTENT:
+                        self.touched[path].add(record[1])
+        finally:
+            gc.enable() if collects else None
         self.number = int(paths[-1].stem) if paths else 0
         self.turn()
         self.append([r.pack((r.START, self.clock(), self.name))])
