--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -402,3 +402,21 @@
     assert f.nodes[0].process.returncode == 0
     until(lambda: client.gone)
     assert client.gone[0] == c.SHUTTING_DOWN
+
+
+def test_answers_wait_for_a_client_that_is_away_and_a_second_connection_takes_over(fleet):
+    f = fleet()
+    client = f.client(paho.MQTTv5, clean=False, expiry=60)
+    client.subscribe("answers/#", 1)
+    until(lambda: client.publish("fetch/0/1", b"", qos=1).is_published() or client.got)
+    client.loop_stop()
+    client.publish("ledger-entry/0/2", b"x", qos=1)
+    client.loop_write()
+    client.socket().shutdown(socket.SHUT_RDWR)  # it goes without a word, its txn open
+    until(lambda: f.lab.state()["once_only"]["runs"] == 1)
+    again = f.client(paho.MQTTv5, clean=False, expiry=60)
+    until(lambda: any(b"settled" in m.topic.encode() for m in again.got))
+    assert again.ups == [(True, 0)]
+    third = f.client(paho.MQTTv5, clean=True)
+    until(lambda: c.TAKEN_OVER in again.gone)
+    assert third.ups[0] == (False, 0) and f.lab.state()["once_only"]["runs"] == 1
