--- a/rampfront/journal/keeper.py
+++ b/rampfront/journal/keeper.py
@@ -28,7 +28,8 @@
         self.doubted = {record[3].encode("latin-1") for record in store.index.doubts.values()}
         for name, at, size, why in store.damage[:20]:
             log.say("journal damaged", segment=name, offset=at, bytes=size, why=why)
-        log.say("journal read", last=self.number, doubts=len(self.doubted), damaged=len(store.damage))
+        log.say("journal read", last=self.number, doubts=len(self.doubted), settled=store.index.settled,
+                not_run=store.index.not_run, damaged=len(store.damage))
 
     # ---- of the desk
 
--- a/rampfront/journal/reader.py
+++ b/rampfront/journal/reader.py
@@ -79,4 +79,5 @@
     counts = {word: sum(e.outcome == k for e in found.entries.values()) for k, word in enumerate(r.WORDS)}
     counts["no outcome"] = sum(e.outcome is None for e in found.entries.values())
     return (f"{found.files} files, {found.size} bytes, {len(found.starts)} starts, {len(found.entries)} submissions: "
-            + ", ".join(f"{count} {word}" for word, count in counts.items()))
+            + ", ".join(f"{count} {word}" for word, count in counts.items())
+            + (f"; {found.orphans} outcomes whose intent went with an older file or a damaged record" if found.orphans else ""))
--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 import resource
 import secrets
 
@@ -16,6 +17,7 @@
 from .discovery import address, read_list
 from .log import LEVELS
 
+PATH = re.compile(r"/[!-~]*")
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 SETTINGS = {"Keepalive": 30000.0, "ConnectTimeout": 250.0}
 # What must stand in the settings: where, its kind, and how that is said. `[]` is each row of a list.
@@ -195,13 +197,18 @@
     from ..mqtt.topics import Route
     routes = []
     for k, row in enumerate(check(told.get("topics"), LIST, "mqtt.topics")):
-        if row.get("product") not in names.products or not 0 < row.get("units", 1.0) <= terms.largest:
-            raise Faulty(f"mqtt.topics[{k}]", "a product that there is, and units that one txn may have", row)
+        where = f"mqtt.topics[{k}]"
+        if check(row, OBJECT, where).get("product") not in names.products:
+            raise Faulty(f"{where}.product", "a product that there is", row.get("product"))
+        if not 0 < check(row.get("units", 1.0), NUMBER, f"{where}.units") <= terms.largest:
+            raise Faulty(f"{where}.units", "what one txn may have", row["units"])
+        if not PATH.fullmatch(check(row.get("path"), TEXT, f"{where}.path")):
+            raise Faulty(f"{where}.path", "a path of printable ASCII", row["path"])
         try:
-            routes.append(Route(row["filter"], row["product"], row["path"], row.get("units", 1.0),
+            routes.append(Route(check(row.get("filter"), TEXT, f"{where}.filter"), row["product"], row["path"], row.get("units", 1.0),
                                 terms.products[names.products[row["product"]]].kind, terms.nodes))
-        except (Malformed, KeyError) as trouble:
-            raise Faulty(f"mqtt.topics[{k}]", "filter, product and path", str(trouble)) from None
+        except Malformed as trouble:
+            raise Faulty(f"{where}.filter", "a topic filter", str(trouble)) from None
     return {"address": place(told, "listen", "mqtt."), "routes": routes, "plan": told["plan"], "answers": told["answers"],
             **{key: told[key] for key in ("connections", "sessions", "inflight")}, "expiry": ns(told["expiry_ms"]),
             "session_expiry": int(told["session_expiry_s"] * 1e9)}
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -108,7 +108,9 @@
     assert launch.read({**told, "mqtt": good}, {}).mqtt["routes"]
     for odd in ({**good, "listen": "x"}, {**good, "topics": []}, {**good, "plan": "none"}, {**good, "inflight": 0},
                 {**good, "topics": [{"filter": "a/#/b", "product": "fetch", "path": "/x"}]}, {**good, "connections": 1000},
-                {**good, "topics": [{"filter": "a", "product": "none", "path": "/x"}]}):
+                {**good, "topics": [{"filter": "a", "product": "none", "path": "/x"}]}, {**good, "topics": [3]},
+                {**good, "topics": [{"filter": "a", "product": "fetch", "path": "/x y"}]},
+                {**good, "topics": [{"filter": "a", "product": "fetch", "path": "/x", "units": "2"}]}):
         with pytest.raises(launch.Faulty, match="mqtt"):
             launch.read({**told, "mqtt": odd}, {})
     text = 'name="n"\nlisten="h:1"\ndiscovery="h:2"\n[[products]]\nname="p"\neffect="inquiry"\nsla_ms=1.0\n' \
