--- a/rampfront/net/launch.py
+++ b/rampfront/net/launch.py
@@ -205,8 +205,8 @@
         if not PATH.fullmatch(check(row.get("path"), TEXT, f"{where}.path")):
             raise Faulty(f"{where}.path", "a path of printable ASCII", row["path"])
         try:
-            routes.append(Route(check(row.get("filter"), TEXT, f"{where}.filter"), row["product"], row["path"], row.get("units", 1.0),
-                                terms.products[names.products[row["product"]]].kind, terms.nodes))
+            routes.append(Route(check(row.get("filter"), TEXT, f"{where}.filter"), row["product"], row["path"],
+                                row.get("units", 1.0), terms.products[names.products[row["product"]]].kind, terms.nodes))
         except Malformed as trouble:
             raise Faulty(f"{where}.filter", "a topic filter", str(trouble)) from None
     return {"address": place(told, "listen", "mqtt."), "routes": routes, "plan": told["plan"], "answers": told["answers"],
