The MQTT listener is there before /-/ready says yes

Seen with eight busy processes beside the tests: a client refused at the MQTT address of a node that was ready. Cause: the HTTP front listened first and answered /-/ready while the other was being bound.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -68,9 +68,9 @@
     desk.begin()
     desk.listed(True, rows)
     watch.start()
-    loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
-    if launch.mqtt:
+    if launch.mqtt:  # first: `/-/ready` must not say yes while one of the fronts is not there
         loop.run_until_complete(fronts[-1].listen(*launch.mqtt["address"]))
+    loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
     if launch.admin:
         admin = Admin(loop, desk, front, bounds, launch.names, log)
         loop.run_until_complete(admin.listen(*launch.admin))
