Second reading: an MQTT session holds its open txns; dead state and repeated lines go

Found on reading the whole change: each MQTT disconnect looked through all open txns of the node, and a count stood beside them that says the same (taken); both are now the session's own table. Asked.damped could only be false, since a damped connection is turned away at its CONNECT. Wills and passwords were kept and never read. The load's list of accounts was made anew for each connection; the crash harness tested twice for its first run.

--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -256,8 +256,8 @@
         typer.echo(f"{reader.stamp(at)} start of {node}")
     for entry in found.entries.values():
         typer.echo(entry.line())
-    for segment, offset, size, why in found.damage:
-        typer.echo(f"damaged: {segment} at {offset}, {size} bytes: {why}")
+    for line in reader.damages(found):
+        typer.echo(line)
     typer.echo(reader.summary(found))
 
 
@@ -282,8 +282,8 @@
 def journal_verify(folder: JournalFolder):
     """Checks every record. Exit 1 where one is damaged; what is torn or flipped is named with file and offset."""
     reader, found = journal_of(folder)
-    for segment, offset, size, why in found.damage:
-        typer.echo(f"damaged: {segment} at {offset}, {size} bytes: {why}")
+    for line in reader.damages(found):
+        typer.echo(line)
     typer.echo(reader.summary(found))
     raise typer.Exit(FAILED if found.damage else 0)
 
@@ -310,23 +310,27 @@
         plots.comparison(said, plot)
 
 
+def sides_of(runs):
+    """The first repeat of each run, by the name of its folder."""
+    from .lab import report as reports
+    return guarded(lambda: {run.name: reports.summarize(reports.repeats(run)[0]) for run in runs})
+
+
 @report.command("quota")
 def report_quota(account: Annotated[str, typer.Argument(help="The account, as reports name it.")],
                  runs: Annotated[list[Path], typer.Argument(help="Folders of runs; their first repeats are drawn.")],
                  plot: Annotated[Path, typer.Option(help="Where to draw it.")]):
     """Draw an account's overshoot over time, several runs in one plot."""
-    from .lab import plots, report as reports
-    sides = guarded(lambda: {run.name: reports.summarize(reports.repeats(run)[0]) for run in runs})
-    plots.quotas(sides, plot, account)
+    from .lab import plots
+    plots.quotas(sides_of(runs), plot, account)
 
 
 @report.command("recovery")
 def report_recovery(runs: Annotated[list[Path], typer.Argument(help="Folders of runs; their first repeats are drawn.")],
                     plot: Annotated[Path, typer.Option(help="Where to draw it.")]):
     """Draw the share of txns settled in time over time, several runs in one plot."""
-    from .lab import plots, report as reports
-    sides = guarded(lambda: {run.name: reports.summarize(reports.repeats(run)[0]) for run in runs})
-    plots.recovery(sides, plot)
+    from .lab import plots
+    plots.recovery(sides_of(runs), plot)
 
 
 def main(args=None):
--- a/rampfront/journal/reader.py
+++ b/rampfront/journal/reader.py
@@ -75,6 +75,10 @@
             and (not doubt or e.doubt) and (since is None or e.at >= since) and (until is None or e.at < until)]
 
 
+def damages(found):
+    return [f"damaged: {segment} at {offset}, {size} bytes: {why}" for segment, offset, size, why in found.damage]
+
+
 def summary(found):
     counts = {word: sum(e.outcome == k for e in found.entries.values()) for k, word in enumerate(r.WORDS)}
     counts["no outcome"] = sum(e.outcome is None for e in found.entries.values())
--- a/rampfront/lab/crash.py
+++ b/rampfront/lab/crash.py
@@ -80,6 +80,7 @@
         self.lab = self.loop.run_until_complete(Lab(self.loop, self.plan, seed, open("/dev/null", "wb")).listen())
         self.node = Node(self.plan, 0, self.lab.addresses(), seed, self.folder)
         self.told, self.doubts, self.refused, self.sent = {}, 0, 0, 0
+        self.left = []  # what the last life left in doubt
 
     async def client(self, run, number):
         for k in range(10 ** 6):
@@ -92,10 +93,10 @@
     async def run(self, run):
         """One life of the node; returns what disagrees."""
         await self.loop.run_in_executor(None, lambda: self.node.start().ready())
-        # What the last life left in doubt is asked for again under its id: none of it may run now.
-        again = [await ask(self.node.listen, mark) for mark in self.left[:20]] if run else []
+        # It is asked for again under its id: none of it may run now.
+        again = [await ask(self.node.listen, mark) for mark in self.left[:20]]
         odd = [f"{mark} was in doubt and answered {status}" for mark, status in zip(self.left, again)
-               if status != IN_DOUBT] if run else []
+               if status != IN_DOUBT]
         self.refused += again.count(IN_DOUBT)
         tasks = [self.loop.create_task(self.client(run, number)) for number in range(self.clients)]
         await asyncio.sleep(self.rng.uniform(0.0, 0.25))
--- a/rampfront/lab/publishers.py
+++ b/rampfront/lab/publishers.py
@@ -21,7 +21,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        name, stream = accounts(self.pool.client.plan)[self.account]
+        name, stream = self.pool.accounts[self.account]
         user = f"{self.pool.client.plan.load.streams[stream].plan}:{customer(name)}"
         client_id = f"w{self.pool.client.worker}-{name}"
         transport.write(c.packet(c.CONNECT, 0, c.text("MQTT") + b"\x05\x82\x00\x3c\x00" + c.text(client_id) + c.text(user)))
@@ -74,6 +74,7 @@
     def __init__(self, client, address):
         host, _, port = address.rpartition(":")
         self.client, self.host, self.port, self.agents, self.opened = client, host, int(port), {}, 0
+        self.accounts = accounts(client.plan)
 
     def submit(self, txn):
         agent = self.agents.get(txn.account)
--- a/rampfront/lab/run.py
+++ b/rampfront/lab/run.py
@@ -65,7 +65,8 @@
         self.nodes = [Node(plan, k, self.addresses, self.seed, self.folder).start() for k in range(plan.topology.nodes)]
         for node in self.nodes:
             node.ready()
-        targets = [f"{node.listen}/{node.mqtt}" if node.mqtt else node.listen for node in self.nodes] or [row["endpoint"] for row in self.addresses["boxes"]]
+        targets = [f"{node.listen}/{node.mqtt}" if node.mqtt else node.listen for node in self.nodes]
+        targets = targets or [row["endpoint"] for row in self.addresses["boxes"]]
         # Workers read their part of the schedule before they are told the start: drawing it takes a while.
         for worker in range(plan.load.workers):
             cores = [pin.load[worker % len(pin.load)]] if pin.load else []
--- a/rampfront/mqtt/codec.py
+++ b/rampfront/mqtt/codec.py
@@ -51,13 +51,12 @@
 
 @dataclass(slots=True)
 class Connect:
+    """A will and a password are read and let go: nobody waits for a will's answer, and no password is asked for."""
     level: int
     client_id: str
     clean: bool
     keep_alive: int
     user: str | None = None
-    password: bytes | None = None
-    will: tuple | None = None  # topic, payload, qos, retain
     properties: dict = field(default_factory=dict)
     kind = CONNECT
 
@@ -275,11 +274,12 @@
         if will:
             if level == V5:
                 body.properties("will")
-            packet.will = topic_name(body.text()), body.binary(), will_qos, will_retain
+            topic_name(body.text())
+            body.binary()
         if flags & 0x80:
             packet.user = body.text()
         if flags & 0x40:
-            packet.password = body.binary()
+            body.binary()
         return packet
 
     def publish(self, kind, flags, body):
--- a/rampfront/mqtt/front.py
+++ b/rampfront/mqtt/front.py
@@ -20,25 +20,27 @@
 CLIENT_ID = re.compile(r"[0-9A-Za-z._:@-]{1,128}")
 USER = re.compile(r"(?:([^:]{1,64}):)?([0-9a-fA-F]{16})")
 # What a client is told of a txn: the word in topic and property, and the reason code.
-SETTLED, DECLINED, VOIDED, REFUSED = ("settled", c.OK), ("declined", c.QUOTA), ("voided", c.IMPLEMENTATION), ("refused", 0)
+SETTLED, DECLINED, VOIDED = ("settled", c.OK), ("declined", c.QUOTA), ("voided", c.IMPLEMENTATION)
+REFUSED = "refused"  # with a code of its own for each reason
 IN_DOUBT = "it may have run"
 CODES = {400: c.BAD_PAYLOAD, 404: c.BAD_TOPIC, 405: c.BAD_PAYLOAD, 409: c.ID_IN_USE, 413: c.TOO_LARGE}
 
 
 class Asked:
     """One txn that a PUBLISH asked for: the core's asker."""
-    __slots__ = ("front", "session", "pid", "qos", "response", "correlation", "exchange", "damped")
+    __slots__ = ("front", "session", "pid", "qos", "response", "correlation", "exchange")
     relays = False  # an MQTT packet tells its length first: what cannot be held is void
+    damped = False  # a connection past the accept rate never gets past its CONNECT
 
-    def __init__(self, front, session, packet, damped):
-        self.front, self.session, self.damped = front, session, damped
+    def __init__(self, front, session, packet):
+        self.front, self.session = front, session
         self.pid, self.qos, self.exchange = packet.pid, packet.qos, None
         self.response = packet.properties.get("response_topic")
         self.correlation = packet.properties.get("correlation")
 
     def taken(self, exchange):
         self.exchange = exchange
-        self.front.open[self] = None
+        self.session.open[self] = None
 
     def settled(self, body):
         self.front.answered(self, SETTLED, body)
@@ -142,7 +144,6 @@
         self.server, self.closing, self.draining, self.done, self.number = None, False, False, None, 0
         self.links = {}  # connections; emptied as they end
         self.sessions = {}  # (plan, account, client id) to Session; emptied by clean ends, age, and past their most
-        self.open = {}  # Asked that have no answer yet; emptied by answers and by clients that leave for good
 
     async def listen(self, host, port):
         self.server = await self.loop.create_server(lambda: Link(self), host, port, backlog=self.bounds.backlog)
@@ -171,8 +172,8 @@
         """The session is over: nobody is left for what is open, as behind an HTTP connection that ended."""
         if self.sessions.get(session.key) is session:
             del self.sessions[session.key]
-        for asked in [asked for asked in self.open if asked.session is session]:
-            del self.open[asked]
+        opened, session.open = session.open, {}
+        for asked in opened:
             exchange = asked.exchange
             if exchange.client is asked:
                 exchange.client = None
@@ -189,14 +190,14 @@
                     link.transport.abort()
             elif link.alive and silent > link.alive and not link.held:
                 link.end(c.KEEP_ALIVE if link.session else None, "nothing came")
-            elif (self.draining or self.closing) and not (link.session and link.session.taken):
+            elif (self.draining or self.closing) and not (link.session and link.session.open):
                 link.end(c.SHUTTING_DOWN if link.session else None)
         for session in list(self.sessions.values()):
             if session.link is None and now - session.since > session.expiry:
                 self.drop(session)
 
     def full(self, link):
-        return link.session is not None and link.session.taken >= self.inflight
+        return link.session is not None and len(link.session.open) >= self.inflight
 
     def drain(self):
         self.draining = True
@@ -327,11 +328,10 @@
 
     def ask(self, link, packet, doubt=False):
         """A PUBLISH that is not known here. `doubt`: it says itself that it was delivered before."""
-        session, asked = link.session, Asked(self, link.session, packet, link.damped)
-        session.taken += 1
+        session, asked = link.session, Asked(self, link.session, packet)
         found = self.routes.find(packet.topic)
         if found is None:
-            return self.answered(asked, (REFUSED[0], c.BAD_TOPIC), orjson.dumps({"why": "no txn under this topic"}),
+            return self.answered(asked, (REFUSED, c.BAD_TOPIC), orjson.dumps({"why": "no txn under this topic"}),
                                  why="no txn under this topic")
         route, url = found
         if doubt and route.kind == t.ONCE_ONLY:
@@ -356,7 +356,7 @@
                            kind and kind.encode(), packet.payload, packet.dup)
         except Unfit as trouble:
             self.counts["malformed"] += 1
-            self.answered(asked, (REFUSED[0], CODES.get(trouble.status, c.IMPLEMENTATION)),
+            self.answered(asked, (REFUSED, CODES.get(trouble.status, c.IMPLEMENTATION)),
                           orjson.dumps({"why": str(trouble)}), why=str(trouble))
 
     def released(self, link, packet):
@@ -404,9 +404,8 @@
 
     def answered(self, asked, outcome, payload, back_in=0, why=""):
         """The final answer of a PUBLISH: its acknowledgement, and the answer's topic for who subscribed to it."""
-        self.open.pop(asked, None)
         session, (word, code) = asked.session, outcome
-        session.taken -= 1
+        session.open.pop(asked, None)
         told = {"reason": why} if why else {}
         told["user"] = [("outcome", word)] + ([("retry-after-ms", str(back_in // MS))] if back_in else [])
         topic = asked.response or f"{self.answers}/{session.client_id}/{asked.pid}/{word}"
--- a/rampfront/mqtt/session.py
+++ b/rampfront/mqtt/session.py
@@ -60,7 +60,7 @@
 
     def __init__(self, key, remember=256, most_waiting=256):
         self.key, self.client_id, self.remember, self.most_waiting = key, key[2], remember, most_waiting
-        self.taken = 0  # PUBLISHes that have no final answer yet
+        self.open = {}  # what its PUBLISHes asked for that has no final answer yet; emptied by answers
         self.rows = OrderedDict()  # packet identifier to Row, in the order of their last use
         self.filters = {}  # what the client subscribed to, to QoS
         self.unacked = OrderedDict()  # answers out at QoS 1: packet identifier to (topic, payload, properties)
