--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -11,8 +11,8 @@
 import sys
 
 if __name__ == "__main__" and sys.argv[1:2] == ["system"]:  # the operators' bridge, without the edge node's libraries
-    from .bridge.commands import main as bridge
-    sys.exit(bridge(sys.argv[2:], prog_name="python -m rampfront system"))
+    from .bridge.__main__ import run
+    sys.exit(run(sys.argv[2:], "python -m rampfront system"))
 
 import uvloop
 
@@ -111,8 +111,8 @@
 
 def main():
     if sys.argv[1:2] == ["system"]:  # of the installed command
-        from .bridge.commands import main as bridge
-        return bridge(sys.argv[2:], prog_name="rampfront system")
+        from .bridge.__main__ import run
+        return run(sys.argv[2:], "rampfront system")
     if len(sys.argv) > 1:
         from .cli import main as words  # not for the edge node itself: it starts without arguments' libraries
         return words()
--- a/rampfront/bridge/commands.py
+++ b/rampfront/bridge/commands.py
@@ -6,126 +6,18 @@
 
 import asyncio
 import json
-import os
-import shlex
-import signal
 import sys
-from functools import wraps
 from pathlib import Path
 
 import click
 
 from ..chart import chart as charts
-from ..chart.words import Unfit, place as address_of
 from . import difference, explain as why, survey
-from .channel import Channel, Refusal, place
+from .channel import Refusal, place
+from .frame import FILE, REFUSED, WRONG, Ended, checked, talks
+from .home import completion, up
 from .words import Misused, spell, table, yes
 
-REFUSED, WRONG, SILENT = 1, 2, 3
-HINTS = {"config.replace": "send it again unchanged when a node answers: a version has one body for ever",
-         "empty.start": "order it again: twice is once", "empty.finish": "order it again: twice is once"}
-COMPLETE = "_RAMPFRONT_SYSTEM_COMPLETE"  # the variable by which a shell asks for words
-OLD = "the nodes run a version without this call"
-
-
-class Ended(click.ClickException):
-    """An error with its exit code."""
-
-    def __init__(self, text, code):
-        super().__init__(text)
-        self.exit_code = code
-
-    def show(self, file=None):
-        click.echo(f"rampfront: {self.message}", err=True)
-
-
-class Addresses(click.ParamType):
-    name = "host:port"
-
-    def convert(self, value, parameter, context):
-        try:
-            return [address_of(part) for part in value.split(",") if part] if isinstance(value, str) else value
-        except Unfit as odd:
-            self.fail(f"{odd.why}; write 127.0.0.1:8381, as in ListenOn.Control", parameter, context)
-
-
-def talks(command):
-    """Options of every command that asks the nodes; the command gets `bridge`."""
-    @click.option("--at", "at", type=Addresses(), multiple=True, envvar="RAMPFRONT_CONTROL", show_envvar=True,
-                  help="Control address of a node; several are asked one after another.")
-    @click.option("--within", type=click.FloatRange(0.2, 600), default=6.0, show_default=True, help="Seconds to go on for.")
-    @click.option("--json", "as_json", is_flag=True, help="One JSON document instead of text.")
-    @click.pass_context
-    @wraps(command)
-    def run(context, at, within, as_json, **words):
-        known = [address for some in at for address in some]
-        if not known:
-            raise Ended("--at: missing; name a node's control address, --at host:port, or set RAMPFRONT_CONTROL", WRONG)
-        return command(Bridge(Channel(known, within, **(context.obj or {})), as_json), **words)
-    return run
-
-
-class Bridge:
-    """What a command works with: the channel to the nodes, and the way its findings are said."""
-
-    def __init__(self, channel, as_json):
-        self.channel, self.as_json = channel, as_json
-
-    def say(self, data, text, indent=1):
-        click.echo(json.dumps(data, indent=indent) if self.as_json else text)
-
-    def run(self, work, name=""):
-        """The value of a Result, or the end of the command."""
-        found = asyncio.run(work)
-        if found.is_ok():
-            return found.ok_value
-        return self.fail(found.err_value, name)
-
-    def fail(self, trouble, name=""):
-        if type(trouble) is Refusal:
-            way = f"\n  {OLD}" if trouble.status == 404 and name.endswith(".read") and name != "config.read" else ""
-            raise Ended(f"{trouble}{way}", REFUSED)
-        way = HINTS.get(name) if trouble.may_have_run else None
-        if name in HINTS:
-            taken = "it may have been taken; " + way if way else "it was not taken"
-            raise Ended(f"{trouble}\n  {taken}", SILENT)
-        raise Ended(f"{trouble}\n  name other nodes with --at, or allow more time with --within", SILENT)
-
-    def call(self, name, body=b"", **query):
-        return self.run(self.channel.call(name, body, **query), name)
-
-    def all(self, name, field, **query):
-        return self.run(self.channel.all(name, field, **query), name)
-
-    def held(self):
-        """The newest configuration's body, or None if there is none."""
-        found = asyncio.run(self.channel.call("config.read"))
-        if found.is_ok():
-            return found.ok_value.body
-        if type(found.err_value) is Refusal and found.err_value.status == 404:
-            return None
-        return self.fail(found.err_value, "config.read")
-
-    def needed(self):
-        body = self.held()
-        if body is None:
-            raise Ended("no configuration yet: give the first one with apply FILE", REFUSED)
-        return body
-
-
-def checked(path):
-    """(body, tables, chart) of a configuration's file; `-`: standard input."""
-    body = sys.stdin.buffer.read() if str(path) == "-" else Path(path).read_bytes()
-    found = charts.read(body)
-    if found.is_err():
-        fault = found.err_value
-        way = ("; docs/system/reference.md tells what it may hold" if fault.field else "")
-        raise Ended(f"{path}: {fault}{way}", WRONG)
-    return body, json.loads(body), found.ok_value
-
-
-FILE = click.argument("file", type=click.Path(exists=True, dir_okay=False, allow_dash=True))
-
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main():
@@ -324,72 +216,5 @@
     bridge.say(told, why.text(told))
 
 
-@main.command()
-@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
-def completion(shell):
-    """Print a function `rampfront-system` and its completion for SHELL, to be read by it at its start."""
-    from click.shell_completion import get_completion_class
-    name, root = "rampfront-system", str(Path(__file__).resolve().parents[2])
-    paths = [root, *(os.path.abspath(part) for part in os.environ.get("PYTHONPATH", "").split(os.pathsep) if part)]
-    command = f"env PYTHONPATH={shlex.quote(os.pathsep.join(dict.fromkeys(paths)))} {sys.executable} -m rampfront.bridge"
-    source = get_completion_class(shell)(main, {}, name, COMPLETE).source()
-    for asked in "$1", name:  # click's scripts ask the command by its name, which is a function here: what is behind it
-        for before in f"{COMPLETE}={shell}_complete", "(commandline -t)":
-            source = source.replace(f"{before} {asked}", f"{before} {command}")
-    body = "$argv" if shell == "fish" else '"$@"'
-    click.echo(f"function {name}; {command} {body}; end" if shell == "fish" else f"{name}() {{ {command} {body}; }}")
-    click.echo(source)
-
-
-# ---- a small system
-
-@main.command()
-@click.option("--nodes", "count", type=click.IntRange(1, 32), default=4, show_default=True, help="Pilots.")
-@click.option("--servers", "each", type=click.IntRange(1, 64), default=4, show_default=True, help="Stand-ins of a service.")
-@click.option("--base", default="127.0.0.11", show_default=True, help="Address of the first; the others follow.")
-@click.option("--config", "-c", "file", type=click.Path(exists=True, dir_okay=False), help="Instead of the one built in.")
-@click.option("--seconds", type=click.FloatRange(min=0.1), help="End after so long, counted from when it serves.")
-@click.option("--patience", type=click.FloatRange(min=1), default=60.0, show_default=True, help="Seconds it has to come up.")
-@click.option("--keep", type=click.Path(file_okay=False), help="Folder for settings, data and logs, kept at the end.")
-@click.option("--json", "as_json", is_flag=True, help="Say where it stands as one line of JSON.")
-def up(count, each, base, file, seconds, patience, keep, as_json):
-    """Run a small system on loopback until Ctrl-C: pilots as processes, stand-ins for platform and servers.
-
-    Says where to send a request. A pilot that ends is started again, as the platform does. Exit 1 if the system does
-    not come up, or a pilot ends again and again.
-    """
-    import ipaddress
-
-    from . import slipway
-    try:
-        ipaddress.IPv4Address(base) + count - 1
-    except ValueError as trouble:
-        raise Ended(f"--base: {trouble}; name an IPv4 address of this machine, as 127.0.0.11", WRONG) from None
-    body = checked(file)[0] if file else None
-    if keep:
-        Path(keep).mkdir(parents=True, exist_ok=True)
-
-    async def run():
-        loop, ended = asyncio.get_running_loop(), asyncio.Event()
-        for number in signal.SIGINT, signal.SIGTERM, signal.SIGHUP:
-            loop.add_signal_handler(number, ended.set)
-        slip = slipway.Slipway(loop, count, base, each, body, folder=keep)
-        try:
-            starting, asked = loop.create_task(slip.start(patience)), loop.create_task(ended.wait())
-            await asyncio.wait((starting, asked), return_when=asyncio.FIRST_COMPLETED)
-            if not starting.done():  # Ctrl-C while it comes up
-                starting.cancel()
-                await asyncio.gather(starting, return_exceptions=True)
-                return
-            starting.result()
-            click.echo(json.dumps(slip.told()) if as_json else slip.greeting())
-            sys.stdout.flush()
-            await slip.watch(ended, seconds, lambda text: click.echo(text, err=True))
-        finally:
-            await slip.end()
-            click.echo("ended", err=True)
-
-    try:
-        asyncio.run(run())
-    except (slipway.Stranded, OSError) as trouble:
-        raise Ended(f"up: {trouble}", REFUSED) from None
+main.add_command(up)
+main.add_command(completion)
--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -104,7 +104,9 @@
         # quotas, those that found no room; of answers, those that were late; of submissions, those in time.
         self.silent, self.pressed, self.tardy, self.prompt = 0.0, 0.0, 0.0, 0.0
         self.woke, self.beating = 0, False  # when it last found that it had stood still; its beat is set
-        self.ref, self.spare, self.period = 0, SPARE_MOST, terms.use_period
+        self.ref, self.period, self.bear_most = 0, terms.use_period, inf  # bear_most: of a cold one in a span
+        self.spare_rate, self.spare_most = terms.spare or (SPARE_RATE, SPARE_MOST)
+        self.spare = self.spare_most
         self.up, self.each, self.sure = [], 0.0, 0.5  # those listed as up; what a warm one settled; mean odds
         self.heard = deque(maxlen=HEARD)  # app servers that a probe told of
         self.free, self.looked_at, self.saved, self.saved_at = 0.0, 0, REACH, now  # room, and its savings
@@ -307,12 +309,12 @@
         A part below one is a chance, drawn once a span, so that the parts of hundreds of nodes sum to it."""
         if (ready := self.ready(server)) < 1.0 and self.now >= server.turn_at:
             server.turn_at = self.now + self.span
-            server.slots = int(self.cold_rate * ready * self.each + self.random())
+            server.slots = int(min(self.bear_most, self.cold_rate * ready * self.each) + self.random())
         return ready >= 1.0 or server.slots > 0
 
     def submit(self, txn, server):
         now, line = self.now, txn.line
-        self.spare = self.spare - 1.0 if txn.sent else min(SPARE_MOST, self.spare + SPARE_RATE)
+        self.spare = self.spare - 1.0 if txn.sent else min(self.spare_most, self.spare + self.spare_rate)
         if not txn.sent:
             self.pressed -= 0.05 * self.pressed
             self.count(txn)
@@ -333,9 +335,9 @@
     def tarry(self, txn, attempt, server):
         """Guards against answers that never come: a second copy, out of the same savings and room as any
         further submission. Harm: work done twice where the answer was only late."""
-        if txn.out.get(attempt) and self.woke < self.now and self.losing():
-            txn.out[attempt] = False  # its place is free: most likely the answer is lost, not late
-            self.lay(server)
+        if txn.out.get(attempt) and self.woke < self.now and (self.losing() or self.tells and self.fits()):
+            txn.out[attempt] = self.tells  # else its place is free: most likely the answer is lost, not late
+            self.lay(server) if not self.tells else None
             self.step(txn, TARRIES)
 
     def losing(self):  # answers are lost, as what comes comes in time
@@ -634,13 +636,9 @@
         elif server:
             server.lost += 1.0
 
-ADMIT = ((Node.beyond, OVER, Node.decline),
-         (Node.choose, OUT, Node.submit),
-         (Node.always, OVER, Node.decline))
-AGAIN = ((Node.another, OUT, Node.always),
-         (Node.again, OUT, Node.submit),
-         (Node.may_decline, OVER, Node.decline),
-         (Node.always, OVER, Node.void))
+ADMIT = ((Node.beyond, OVER, Node.decline), (Node.choose, OUT, Node.submit), (Node.always, OVER, Node.decline))
+AGAIN = ((Node.another, OUT, Node.always), (Node.again, OUT, Node.submit),
+         (Node.may_decline, OVER, Node.decline), (Node.always, OVER, Node.void))
 CLOSE = ((Node.always, OVER, Node.close),)
 # state, input: guard, next state and effect of each row, in the order tried
 TXN = {
--- a/rampfront/lighthouse/keeper.py
+++ b/rampfront/lighthouse/keeper.py
@@ -18,6 +18,7 @@
 SILENT = 900 * MS  # a leader heard from within this time is a live one: no votes against it
 PATIENCE = 900 * MS, 1600 * MS  # silence behind which a member asks for votes
 AGAIN = 400 * MS, 900 * MS  # until it asks anew
+START = 60 * MS, 360 * MS  # the same behind a start: where a leader is alive, nobody heeds it
 HANDED = 20 * MS, 300 * MS  # the same after a leader said that it stops
 YIELD = 3 * SEC  # between two times that one which asks gives way to another
 REPEAT = 140 * MS  # until an unanswered question is sent again
@@ -49,7 +50,7 @@
         self.entry = self.ruled = None  # the newest entry; the newest one known to be in force
         self.role, self.helm, self.leader = LEARNER, None, None
         self.leader_at = self.heard_at = -FORGET  # last word of it; last beat of a live one in this term
-        self.due_at = now + self.between(300 * MS, 900 * MS)
+        self.due_at = now + self.between(*START)
         self.asked_at = self.knocked_at = self.yielded_at = -YIELD
         self.votes = set()
         self.password = 0  # what the leader wants to hear with a knock: no old knock has it
--- a/rampfront/model/tides.py
+++ b/rampfront/model/tides.py
@@ -67,9 +67,9 @@
 
     def __init__(self, seed, nodes=11, tenants=((27, 27),), others=7, hot=(6.0, 15.0), x=8.0, end=20.0, loss=0.005,
                  repeat=0.002, cuts=(), dies=None, moves_after=1.0, skew=0.0, restarts=(), way="tide", load=1 / 1.6,
-                 late=2 * MS, split=None):
+                 late=2 * MS, split=None, busy=0.0):
         self.random = random = Random(seed)
-        self.nodes, self.loss, self.repeat, self.late, self.way = nodes, loss, repeat, late, way
+        self.nodes, self.loss, self.repeat, self.late, self.way, self.busy = nodes, loss, repeat, late, way, busy
         self.hot, self.x, self.end, self.load = hot, x, end, load
         self.limits = {f"t{i}": SimpleNamespace(per_s=p, burst=b) for i, (p, b) in enumerate(tenants)}
         self.first = list(self.limits)  # those that get hot
@@ -106,7 +106,7 @@
         if a == b:
             return 0
         base = 0.3 if a % 4 == b % 4 else 0.5 if a % 2 == b % 2 else 20.5
-        return int((base + self.random.expovariate(1 / 1.0)) * MS)
+        return int((base + self.random.expovariate(1.0) * (1.0 + self.busy)) * MS)
 
     def apart(self, a, b, now):
         t = now / SEC
@@ -276,6 +276,7 @@
     "cut off, then hot": dict(cuts=((5.9, 16.0, 1 / 3),)),
     "hot, core in halves": dict(cuts=((8.0, 18.0, 0.5),), split=8.0),
     "hot, 1 in 10 lost": dict(loss=0.1),
+    "hot, 50 ms more each way": dict(busy=50.0),
     "hot, all restart": dict(restarts=None),
 }
 
--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -44,6 +44,7 @@
         self.desk.upstream = self.harbour = Harbour(pilot.loop, self.desk, pilot.bounds, health, pilot.log, self.loaded,
                                                            self.gone)
         self.desk.begin()
+        self.desk.node.spare = 0.0  # a start has earned no further tries yet
         self.listed = {}  # id to what was told of it last
 
     def line(self, route):
@@ -104,8 +105,14 @@
         if nodes != self.nodes:
             self.nodes = nodes
             self.tide.proxies(nodes)
-            for pier in self.piers.values():
-                roads.share(pier.desk.node, self.papers, nodes)
+            self.share()
+
+    def share(self):
+        if self.chart is None:
+            return
+        for name, pier in self.piers.items():
+            service = self.chart.services.get(name)
+            roads.share(pier.desk.node, self.papers, self.nodes, service.cold_per_s if service else 0.0)
 
     def listed(self, servers):
         self.servers = servers
@@ -134,6 +141,7 @@
         for name, service in chart.services.items():
             if name not in self.piers:
                 self.piers[name] = Pier(self, name, service.health_path)
+        self.share()
         for name, pier in self.piers.items():
             pier.update(rows.get(name, {}))
 
--- a/rampfront/pilot/roads.py
+++ b/rampfront/pilot/roads.py
@@ -9,18 +9,29 @@
 MS, SEC = 10 ** 6, 10 ** 9
 LATE = 0.3  # what an answer past its target is taken to earn, of its worth: the wire does not tell
 NEAR, IN_REGION, FAR = 1.0, 0.4, 0.02  # weight of a server in our zone, in our region, elsewhere
+RATIO, SAVED, COLD = 0.85, 0.8, 0.8  # parts of the fleet's budgets that are used: retry ratio, extra tries, cold rate
+FEWEST = 8  # pilots that a share counts at least: the roster may not be whole yet, and some may be cut off
 LARGE = 8 << 10  # a body so large makes its way weigh more: each byte between zones and regions is priced
 
 
 def terms(papers, products, plans, nodes):
-    bounds = papers.terms
-    return t.Terms(products=products, plans=plans, nodes=max(1, nodes), max_submissions=8, may_probe=False,
-                   may_cancel=True, has_counter=False, counter_wait=0, largest=1.0, subscribes=False,
-                   longest_advice=2 * SEC, tick=MS, cold_share=0.2, warm_within=3 * SEC, fall_multiple=2.0, tip_after=SEC, tells=True)
+    return t.Terms(products=products, plans=plans, nodes=1, max_submissions=8, may_probe=False, may_cancel=True,
+                   has_counter=False, counter_wait=0, largest=1.0, subscribes=False, longest_advice=2 * SEC, tick=MS,
+                   cold_share=0.2, warm_within=3 * SEC, fall_multiple=2.0, tip_after=SEC, tells=True, may_copy=True,
+                   spare=spare(papers.terms, nodes))
 
 
-def share(node, papers, nodes):
-    """The fleet has another number of pilots: this one's part of what all share is another."""
+def spare(bounds, nodes):
+    """Further submissions that a pilot may make for each first one, and save up, so that those of all stay within the
+    fleet's budget (RULES, BUDGET) whoever is cut off: rates add up by themselves, savings are an even part each."""
+    return RATIO * bounds.retry_ratio, SAVED * bounds.extra_tries / max(nodes, FEWEST)
+
+
+def share(node, papers, nodes, cold_per_s):
+    """The fleet has another number of pilots, or its servers other bounds: this one's part of what all share."""
+    node.spare_rate, node.spare_most = spare(papers.terms, nodes)
+    node.spare = min(node.spare, node.spare_most)
+    node.bear_most = COLD * cold_per_s / max(nodes, FEWEST) if cold_per_s else float("inf")
 
 
 def product(kind, target):
--- a/rampfront/station/doors.py
+++ b/rampfront/station/doors.py
@@ -14,6 +14,7 @@
 MS, SEC = 10 ** 6, 10 ** 9
 TTL = 2 * SEC  # what a client may hold an answer for
 ADDRESSES = 64  # in an answer
+SPARES, TIMES = 2, 16  # others of its region beside them; and how often each of its zone is named then
 FEW = 2  # fronts of its own zone that a client is given at least, else those of its region join them
 BACK = ((b"Retry-After", b"0.3"),)
 
@@ -41,10 +42,14 @@
             return trouble(503, "no front is known to be ready", BACK)
         zone, region = asked.query.get("Zone"), asked.query.get("Region")
         near = [row[3] for row in rows if row[2] == zone]
+        rest = [row[3] for row in rows if row[2] != zone and zones.get(row[2]) == region]
         if len(near) < FEW:
-            near = [row[3] for row in rows if zones.get(row[2]) == region] or near or [row[3] for row in rows]
-        if len(near) > ADDRESSES:
-            near = station.draw.sample(near, ADDRESSES)
+            near, rest = near + rest or [row[3] for row in rows], []
+        if len(near) > ADDRESSES - SPARES:
+            near = station.draw.sample(near, ADDRESSES - SPARES)
+        # Guards clients against the loss of their zone until they hear of it: a few of the region's others are named too,
+        # so rarely that hardly any is used while the zone stands, since clients choose by chance.
+        near = near * min(TIMES, (ADDRESSES - SPARES) // len(near)) + rest[:SPARES] if rest else near
         return said({"Addresses": near, "Ttl": f"{self.ttl // MS}ms"})
 
 
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -29,7 +29,7 @@
 from .orders import Orders
 
 MS, SEC = 10 ** 6, 10 ** 9
-TICK = 100 * MS  # the one beat of all parts that look at the time
+TICK, SOON = 100 * MS, 25 * MS  # the one beat of all parts that look at the time; and until the first word
 POLL = SEC  # gap of the platform's list
 FAR = 1 << 61  # ns: later than any time
 MARGIN = 600 * MS  # a word ends so long before what it has to keep: what is on its way by then, and clocks
@@ -240,7 +240,7 @@
     # ---- time
 
     def tick(self):
-        self.timers.after(TICK, self.tick)  # first, so that a defect below does not end it
+        self.timers.after(TICK if self.lookout.word_at else SOON, self.tick)  # first, so that a defect below does not end it
         now = self.clock()
         self.tell(lt.Tick())
         self.lookout.tick(now)
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -65,7 +65,8 @@
     marks: bool = False  # nodes mark the counter, to tell a new or split one
     probe_fee: float = 0.0  # what one probe for each txn costs, in parts of all value; 0: not told
     use_period: int = 0  # answers tell an account's use over so long; 0: they don't
-    tells: bool = False  # answers tell the work at their server
+    tells: bool = False  # answers tell the work at their server, and a copy goes for what is late there
+    spare: tuple = ()  # further submissions earned by each first one, and at most saved up; none: as usual
 
 
 # ---- inputs
--- a/rampfront/tide/words.py
+++ b/rampfront/tide/words.py
@@ -13,7 +13,7 @@
 MS, SEC = 10 ** 6, 10 ** 9
 
 SHORTEST = SEC  # of a window: below it, the ticks could not keep up
-GRACE, LONE = 1 / 6, 0.5  # of the slack; of what is left of it where totals come so many s behind:
+GRACE, LONE = 1 / 7, 0.35  # of the slack; of what is left of it where totals come so many s behind:
 BEHIND = 0.5
 ROWS = 40  # in one message: so it fits a datagram
 SILENT = SEC  # a pilot at work says something that often; one that does not may be cut off, and go by its even part
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -13,7 +13,7 @@
 MS, SEC = 10 ** 6, 10 ** 9
 
 BEAT = SEC  # gap of a node's hails to the leader
-HURRY = 150 * MS  # and while it holds no word, or the last hails went unanswered
+HURRY, RUSH = 150 * MS, 50 * MS  # and while the last hails went unanswered, or it never had a word
 DEAF = 1300 * MS  # a leader that has not answered for so long: others are asked too
 GONE = 3500 * MS  # a node that the leader has not heard for so long leaves the roster
 TERM = 1 << 20  # numbers of one leader's term
@@ -76,7 +76,7 @@
         if now < self.next_at:
             return
         calm = self.leads or self.word_at is not None and now - self.answered_at < DEAF
-        self.next_at = now + int((BEAT if calm else HURRY) * self.draw.uniform(0.85, 1.15))
+        self.next_at = now + int((BEAT if calm else HURRY if self.word_at is not None else RUSH) * self.draw.uniform(0.85, 1.15))
         if self.leads:
             return
         hail = self.hail(now)
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -16,7 +16,7 @@
 import pytest
 from result import Err, Ok
 
-from rampfront.bridge import commands, difference, explain, slipway, survey
+from rampfront.bridge import commands, difference, explain, home, slipway, survey
 from rampfront.chart import chart as charts, papers
 from rampfront.lighthouse.state import State
 from rampfront.net.ask import Reply, Trouble
@@ -317,7 +317,7 @@
 @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
 def test_completion_asks_the_program_and_not_a_command_that_is_not_there(shell):
     told = click.testing.CliRunner().invoke(commands.main, ["completion", shell]).stdout
-    assert told.count("-m rampfront.bridge") == 2 and f"{commands.COMPLETE}={shell}_complete" in told
+    assert told.count("-m rampfront.bridge") == 2 and f"{home.COMPLETE}={shell}_complete" in told
 
 
 def test_the_serving_processes_never_pay_for_the_bridge():
--- a/tests/test_tide.py
+++ b/tests/test_tide.py
@@ -299,18 +299,18 @@
     assert bay.take(a, 100) == 100 and bay.take(a, 100, "other") == 100  # no limit, or no longer a tenant
 
 
-@pytest.mark.parametrize("steps", [{0: 40}, {0: 20, 25: 20}, {n: 4 for n in range(0, 50, 5)}])
-def test_without_burst_nothing_within_quota_is_refused_and_the_rule_holds(steps):
+@pytest.mark.parametrize("bursts", [{0: 40}, {0: 20, 2500: 20}, {n: 4 for n in range(0, 5000, 500)}])
+def test_without_burst_nothing_within_quota_is_refused_and_the_rule_holds(bursts):
     bay = Bay("a", acme=(8, 0))
     a, = bay.tides
-    bay.settle(5)
-    for step in range(200):  # 50 of them take a slot more than QuotaWindow, as what is told is a slot old
-        asked = steps.get(step % 50, 0)
-        assert sum(bay.take(a) + 0 * bay.settle(0.02) for _ in range(asked)) == asked
-        bay.settle(0.11 - 0.02 * asked) if asked < 5 else bay.settle(0.02)
-        bay.settle(0.02)
+    bay.settle(6)
+    begun, span = bay.now, 5400 * MS  # QuotaWindow, and what the holder's slots and a reading lag behind
+    for turn in range(4):
+        for at, asked in bursts.items():
+            bay.settle((begun + turn * span + at * MS - bay.now) / SEC)
+            assert bay.take(a, asked) == asked
     times = []
-    for step in range(600):
+    for _ in range(600):
         bay.now += 20 * MS
         times += [bay.now] * bay.take(a, 3)
         bay.carry(a)
