--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -111,7 +111,8 @@
                 # Guards the roster against a late hail of a node that has said since that it leaves.
                 peer.name, peer.zone, peer.front, peer.ready = name, zone, front, bool(told["r"])
                 peer.heard, peer.asked, peer.index, peer.servers, peer.roster = now, asked, index, servers, number
-            self.look(now)
+            if not peer.ready:
+                self.look(now)  # who leaves is left out at once; who came waits for the next tick, with others
         self.send(ip, self.word(now, index, servers, number, asked))
 
     def word(self, now, index, servers, number, asked):
