--- a/rampfront/model/schedule.py
+++ b/rampfront/model/schedule.py
@@ -65,13 +65,18 @@
         if world.now >= self.end or world.now < BEGIN or self.chance.random() >= self.after_ack:
             return
         blow = self.chance.choice((self.kill, self.kill, self.lose_disk, self.kill_all, self.cut_one))
-        world.at(world.now + self.chance.randrange(5 * MS), blow, node)
+        world.at(world.now + self.chance.randrange(5 * MS), self.in_time, blow, node)
+
+    def in_time(self, blow, node):
+        """Guards the calm against a blow that was on its way when it began."""
+        if self.world.now < self.end:
+            blow(node)
 
     def voted(self, node):
         """A vote just left: killed and back at once, a member that forgot it would vote again."""
         world = self.world
         if BEGIN <= world.now < self.end and self.chance.random() < self.after_vote:
-            self.world.at(world.now + self.chance.randrange(20 * MS), self.kill_shortly, node)
+            self.world.at(world.now + self.chance.randrange(20 * MS), self.in_time, self.kill_shortly, node)
 
     def kill_shortly(self, node):
         self.hit("kill_shortly", node.name)
--- a/rampfront/pilot/front.py
+++ b/rampfront/pilot/front.py
@@ -27,7 +27,7 @@
 
     def on_message_begin(self):
         super().on_message_begin()
-        self.rows, self.headed, self.bare = [], False, False
+        self.rows, self.headed = [], False
 
     def on_header(self, name, value):
         if self.headed:
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -89,6 +89,7 @@
         elif kind == "sum":
             if ip == self.holder:
                 self.tide.told(now, message["m"])
+                self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
         elif kind in ("order", "said"):
             self.orders.heard(ip, message)
         elif self.keeper:
