--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -24,12 +24,13 @@
 
 class Passage(Exchange):
     """One request on its way."""
-    __slots__ = ("pier", "tenant", "came", "due", "answer", "risky")
+    __slots__ = ("pier", "tenant", "came", "due", "answer", "risky", "once")
 
     def __init__(self, client, tag, head, body, line, pier, tenant, came, due):
         super().__init__(client, tag, head, body, line, "all")
         self.pier, self.tenant, self.came, self.due, self.answer = pier, tenant, came, due, None
         self.risky = False  # whether a server may have run it
+        self.once = False  # whether it may run only once
 
 
 class Pier:
@@ -195,6 +196,7 @@
         if body or method not in (b"GET", b"HEAD"):
             head.append(b"Content-Length: %d\r\n" % len(body))
         passage = Passage(client, tag, b"".join(head), body, pier.line(route), pier, tenant, now, now + left)
+        passage.once = route.kind != "read_only"
         if passage in pier.desk.books.txns.of:
             if tenant:
                 self.tide.give_back(tenant.name, now)
--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -8,11 +8,13 @@
 import re
 
 from .. import terms as t
-from ..net.upstream import Link, Upstream
+from ..net.upstream import IDLE, WAITING, Link, Upstream
 
 MS, SEC = 10 ** 6, 10 ** 9
 FAR = 1 << 62  # ns: later than any time
 KEEPS = re.compile(rb"(?:^|timeout\s*=\s*)(\d{1,5})")  # a server's `Keep-Alive`
+AT_ONCE = 150 * MS  # a connection that ends so soon behind a request, without a byte, had been forgotten
+RESTED = 250 * MS  # one that rested no longer than this is always used again
 EARLY = 300 * MS  # an idle connection is closed so long before its server would: the way there, and the next look at it
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
                  b"content-length", b"proxy-authenticate", b"proxy-authorization"))  # concern one connection alone
@@ -29,7 +31,7 @@
 
 
 class Haul(Link):
-    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "cold")
+    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "cold", "rested")
 
     def on_message_begin(self):
         super().on_message_begin()
@@ -66,6 +68,15 @@
         if low not in HOP:
             self.fields.append((name, value))
 
+    def begin(self, exchange, attempt, allow):
+        self.rested = self.pool.clock() - self.since if self.state == IDLE else None
+        super().begin(exchange, attempt, allow)
+
+    def connection_lost(self, trouble):
+        if self.state == WAITING and not self.fed and self.rested is not None:
+            self.pool.forgotten(self.rested, self.pool.clock() - self.sent_at)
+        super().connection_lost(trouble)
+
     def say(self, exchange, left):
         self.transport.writelines((exchange.head, b"Time-Left-Ms: %d\r\nWanted-Server: %s\r\n\r\n" % (
             left // MS, self.target.uid.encode()), exchange.body))
@@ -118,8 +129,22 @@
     def __init__(self, loop, desk, bounds, health, log, loads, gone):
         super().__init__(loop, desk, bounds, False, log)
         self.loads, self.gone = loads, gone
+        self.rest_most = bounds.link_idle  # how long a connection may have rested to carry what may run only once
         self.probe_text = b"GET %s HTTP/1.1\r\nHost: health\r\n\r\n" % health
 
+    def submit(self, exchange, attempt, index, allow):
+        if exchange.once and (target := self.targets.get(index)):
+            # Guards what may run once only against a connection that its server has forgotten: it could not be sent again.
+            now = self.clock()
+            while target.idle and now - target.idle[-1].since > self.rest_most:
+                target.idle[-1].close()
+        super().submit(exchange, attempt, index, allow)
+
+    def forgotten(self, rested, took):
+        """A kept connection ended under a request at once: from now on, those that rested so long are not trusted."""
+        if took < AT_ONCE:
+            self.rest_most = max(RESTED, min(self.rest_most, rested * 3 // 4))
+
     def loaded(self, target, text):
         parts = text.split(b",")
         if len(parts) == 3 and all(part.strip().isdigit() and len(part) < 7 for part in parts):
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -425,6 +425,22 @@
         assert q.got().status == 200 and q.log.counts["connects"] == connects, k
 
 
+def test_a_forgotten_connection_is_not_trusted_again():
+    """A server that forgets idle connections without a word costs one request that may run once, not one for each of them."""
+    q = Quay({"s1": ("one", "a1")})
+    q.ask(WRITE)
+    q.reply()
+    q.wait(3000)
+    q.ask(WRITE, tag="t2")
+    reset(q)
+    assert q.got().status == 502 and q.log.counts["connects"] == 1
+    for tag, rest, connects in (("t3", 0, 2), ("t4", 2000, 2), ("t5", 2500, 3)):
+        q.wait(rest)
+        q.ask(WRITE, tag=tag)
+        q.reply(tag=tag)
+        assert q.got().status == 200 and q.log.counts["connects"] == connects, tag
+
+
 def test_a_late_read_gets_a_copy():
     """Once what is usual is known: elsewhere, beside the first; one answer goes back, and the other is called off. What must
     run once never gets one."""
