--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -430,6 +430,7 @@
     q = Quay({"s1": ("one", "a1")})
     q.ask(WRITE)
     q.reply()
+    assert q.got().status == 200
     q.wait(3000)
     q.ask(WRITE, tag="t2")
     reset(q)
