--- a/rampfront/bridge/channel.py
+++ b/rampfront/bridge/channel.py
@@ -21,6 +21,7 @@
 MOVES = 2  # redirections that are followed
 AGAIN = frozenset((408, 429))
 MOST = 64 << 20  # bytes of an answer
+ROWS = 100_000  # of a list
 NUMBER = (int, float)
 FIELDS = {  # what is read of answers: of the answer itself, and of each row of its list
     "state.read": ({"Node": str, "Ip": str, "Zone": str, "Ready": bool, "Ending": bool, "Disk": bool, "Leads": bool,
@@ -161,6 +162,6 @@
             rows += said[field]
             if not said.get("Next"):
                 return Ok((rows, said))
-            if then.get("after", "") >= said["Next"]:
-                return Err(Refusal(found.ok_value.at, 200, "its pages go round in a circle"))
+            if len(rows) > ROWS or type(said["Next"]) is not str or then.get("after", "") >= said["Next"]:
+                return Err(Refusal(found.ok_value.at, 200, "its pages do not end, or go round in a circle"))
             then = {"after": said["Next"]}
