--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -46,7 +46,7 @@
         self.desk.upstream = self.harbour = Harbour(pilot.loop, self.desk, pilot.bounds, health, pilot.log, self.loaded,
                                                            self.gone)
         self.desk.begin()
-        self.desk.node.spare = 0.0  # a start has earned no further tries yet
+        self.desk.node.spare = min(1.0, self.desk.node.spare)  # a start has earned next to no further tries yet
         self.listed = {}  # id to what was told of it last
 
     def line(self, route):
