--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -85,7 +85,7 @@
         self.tide, self.fresh, self.counts = tide, fresh, log.counts
         self.chart, self.servers, self.emptied = None, None, frozenset()
         self.cold_zones = {}  # zones taken back lately: until when their servers are held to be cold
-        self.piers = {}  # by service; emptied when a chart leaves it out and nothing is out there
+        self.piers = {}  # by service, of all charts so far: a service that comes back finds its own
         self.nodes = 1
         self.took = lambda: None  # behind each request that the tide was asked of: it may have something to tell
         self.zones = {zone: index for index, zone in enumerate(sorted(papers.zones))}
@@ -114,8 +114,8 @@
         if self.chart is None:
             return
         for name, pier in self.piers.items():
-            service = self.chart.services.get(name)
-            roads.share(pier.desk.node, self.papers, self.nodes, service.cold_per_s if service else 0.0)
+            if service := self.chart.services.get(name):
+                roads.share(pier.desk.node, self.papers, self.nodes, service)
 
     def listed(self, servers):
         self.servers = servers
--- a/rampfront/pilot/roads.py
+++ b/rampfront/pilot/roads.py
@@ -14,13 +14,14 @@
 RATIO, SAVED, COLD = 0.85, 0.8, 0.8  # parts of the fleet's budgets that are used: retry ratio, extra tries, cold rate
 FEWEST = 8  # pilots that a share counts at least: the roster may not be whole yet, and some may be cut off
 OWN, OTHERS = (8, 6, 4), 0.1  # servers that a pilot prefers in its zone, its region, elsewhere; weight of the rest
+WARMUP = SEC  # of a service that tells none: its servers are never cold
 LARGE = 8 << 10  # a body so large makes its way weigh more: each byte between zones and regions is priced
 
 
 def terms(papers, products, plans, nodes):
     return t.Terms(products=products, plans=plans, nodes=1, max_submissions=8, may_probe=False, may_cancel=True,
                    has_counter=False, counter_wait=0, largest=1.0, subscribes=False, longest_advice=2 * SEC, tick=MS,
-                   cold_share=0.2, warm_within=3 * SEC, fall_multiple=2.0, tip_after=SEC, tells=True, may_copy=True,
+                   cold_share=0.2, warm_within=WARMUP, fall_multiple=2.0, tip_after=SEC, tells=True, may_copy=True,
                    spare=spare(papers.terms, nodes))
 
 
@@ -30,11 +31,12 @@
     return RATIO * bounds.retry_ratio, SAVED * bounds.extra_tries / max(nodes, FEWEST)
 
 
-def share(node, papers, nodes, cold_per_s):
+def share(node, papers, nodes, service):
     """The fleet has another number of pilots, or its servers other bounds: this one's part of what all share."""
     node.spare_rate, node.spare_most = spare(papers.terms, nodes)
     node.spare = min(node.spare, node.spare_most)
-    node.bear_most = COLD * cold_per_s / max(nodes, FEWEST) if cold_per_s else float("inf")
+    node.bear_most = COLD * service.cold_per_s / max(nodes, FEWEST) if service.cold_per_s else float("inf")
+    node.warm_within = service.warmup or WARMUP
 
 
 def product(kind, target):
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -7,7 +7,7 @@
 import pytest
 
 from quay import SEC, Quay, Quota, Silent, orders, rule, settings
-from rampfront.chart import papers as papers_of
+from rampfront.chart import chart as charts, papers as papers_of
 from rampfront.lighthouse.state import State, digest
 from rampfront.watch import platform
 
@@ -610,6 +610,20 @@
     assert len(q.quota.back) == back and (end != "no server" or q.quota.left == 1000)
 
 
+def test_a_server_is_cold_for_as_long_as_its_service_says():
+    q = Quay()
+    chart = charts.read(orders().replace(b'"3s"', b'"6s"')).ok_value
+    q.gate.capped(chart.caps)
+    q.pilot.charted(chart)
+    q.list({"s1": ("one", "a1")}, cold={"s1": 6000})
+    node = q.pilot.piers["one"].desk.node
+    server, = node.servers.values()
+    for tag, wait, cold in (("t1", 4000, True), ("t2", 2500, False)):
+        q.wait(wait)
+        q.ask(tag=tag)
+        assert (node.ready(server) < 1.0) is cold, tag
+
+
 @pytest.mark.parametrize("back", (False, True))
 def test_a_cold_server(back):
     """It gets this pilot's part of what it bears, in any second, and its full share once it is warm. So does one whose zone
