--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -9,6 +9,7 @@
 """
 
 from .. import terms as t
+from ..choice import Line
 from ..net.core import Exchange, Unfit
 from ..net.desk import Desk
 from . import roads
@@ -54,7 +55,6 @@
         key = route.kind, route.target
         index = self.lines.get(key)
         if index is None:
-            from ..choice import Line
             index = self.lines[key] = len(self.desk.node.lines)
             self.desk.node.lines.append(Line(roads.product(KINDS[route.kind], route.target)))
             self.desk.once_only.append(False)
--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -31,12 +31,12 @@
 
 
 class Haul(Link):
-    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "cold", "rested")
+    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "rested")
 
     def on_message_begin(self):
         super().on_message_begin()
         self.fields, self.tag, self.seal, self.coded, self.told_load = [], None, None, False, None
-        self.keeps, self.cold = None, None
+        self.keeps = None
 
     def on_headers_complete(self):
         super().on_headers_complete()
@@ -57,8 +57,6 @@
             self.told_load = value
         elif low == b"content-encoding":
             self.coded = True
-        elif low == b"cold-ms":
-            self.cold = value
         elif low == b"content-length":
             self.length = int(value)
         elif low == b"transfer-encoding":
