Servers' health from the fleet's own requests: dark and ill servers are told to all pilots

The kernel's count of unacknowledged bytes tells nothing here (probed: always 0), probes are priced and may lie.

Change: pilots report hung connects, requests that hear nothing for 2.5 mean times, and failures to the leader; what two of them bear out is told to all, a zone as one once a fifth of its servers went dark together; answers clear it. What a pilot does with it is choice.py's doubt.

--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -634,8 +634,9 @@
         elif server and told.how == t.DONE:
             server.load = 1.0 + told.report.get("inflight", told.took / (50 * MS))
             self.heard.append(server)
+            server.lost = min(0.9, server.lost) if self.tells else server.lost  # the fleet hears it again
         elif server:
-            server.lost += 1.0
+            server.lost += 2.0 if self.tells else 1.0
 
 ADMIT = ((Node.beyond, OVER, Node.decline), (Node.choose, OUT, Node.submit), (Node.always, OVER, Node.decline))
 AGAIN = ((Node.another, OUT, Node.always), (Node.again, OUT, Node.submit),
--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -12,6 +12,7 @@
 from ..choice import Line
 from ..net.core import Exchange, Unfit
 from ..net.desk import Desk
+from ..watch.sightings import WELL, Glass
 from . import roads
 from .haul import HOP, Harbour
 
@@ -45,7 +46,7 @@
                          pilot.log)
         self.desk.core = pilot
         self.desk.upstream = self.harbour = Harbour(pilot.loop, self.desk, pilot.bounds, health, pilot.log, self.loaded,
-                                                           self.gone)
+                                                           self.gone, pilot.glass)
         self.desk.begin()
         self.desk.node.spare = min(1.0, self.desk.node.spare)  # a start has earned next to no further tries yet
         self.listed = {}  # id to what was told of it last
@@ -63,6 +64,12 @@
     def loaded(self, index, running, waiting, slots):
         self.desk.tell(t.Probed(index, t.DONE, 0, {"running": running, "waiting": waiting, "slots": slots}))
 
+    def seen(self, uid, well):
+        """The fleet's sightings say so of a server; of another service's, nothing is known here."""
+        index = self.desk.books.servers.of.get(uid)
+        if index is not None:
+            self.desk.tell(t.Probed(index, t.DONE if well else t.UNREACHED, 0, {}))
+
     def gone(self, uid):
         """Another has its address: it gets nothing more, until the list has something new to tell of it."""
         if row := self.listed.get(uid):
@@ -85,6 +92,7 @@
         self.tide, self.fresh, self.counts = tide, fresh, log.counts
         self.chart, self.servers, self.emptied = None, None, frozenset()
         self.cold_zones = {}  # zones taken back lately: until when their servers are held to be cold
+        self.glass = Glass()
         self.piers = {}  # by service, of all charts so far: a service that comes back finds its own
         self.nodes = 1
         self.took = lambda: None  # behind each request that the tide was asked of: it may have something to tell
@@ -121,6 +129,12 @@
         self.servers = servers
         self.lay()
 
+    def sighted(self, rows):
+        """Servers that the fleet found dark, ill, or well again."""
+        for uid, state in self.glass.heard_of(rows, self.clock()):
+            for pier in self.piers.values():
+                pier.seen(uid, state == WELL)
+
     def zoned(self, emptied):
         now = self.clock()
         for zone in self.emptied - emptied:
--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -9,6 +9,7 @@
 
 from .. import terms as t
 from ..net.upstream import IDLE, WAITING, Link, Upstream
+from ..watch import sightings
 
 MS, SEC = 10 ** 6, 10 ** 9
 FAR = 1 << 62  # ns: later than any time
@@ -19,6 +20,7 @@
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
                  b"content-length", b"proxy-authenticate", b"proxy-authorization"))  # concern one connection alone
 UNRUN = frozenset((t.UNSEEN, t.UNSENT, t.UNREACHED))  # ends of what no server has run
+SAW = {t.DONE: sightings.WELL, t.ERROR: sightings.FAILED, t.BROKEN: sightings.FAILED}
 PROMISES = frozenset((408, 429, 503))  # a client takes them to say that it has not run; without Not-Run it may have
 
 
@@ -31,7 +33,7 @@
 
 
 class Haul(Link):
-    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "rested")
+    __slots__ = ("until", "fields", "tag", "seal", "coded", "told_load", "keeps", "rested", "ref")
 
     def on_message_begin(self):
         super().on_message_begin()
@@ -67,7 +69,10 @@
             self.fields.append((name, value))
 
     def begin(self, exchange, attempt, allow):
-        self.rested = self.pool.clock() - self.since if self.state == IDLE else None
+        pool = self.pool
+        self.rested = pool.clock() - self.since if self.state == IDLE else None
+        if exchange:
+            self.ref = pool.glass.sent(self.target.uid, pool.desk.node.lines[exchange.product].mean, pool.clock())
         super().begin(exchange, attempt, allow)
 
     def connection_lost(self, trouble):
@@ -105,6 +110,10 @@
             self.until = self.pool.clock() + int(said.group(1)) * SEC - EARLY
         else:
             self.until = FAR
+        if self.exchange:
+            now = self.pool.clock()
+            hung = how == t.UNREACHED and now - self.sent_at >= sightings.HANGS
+            self.pool.glass.over(self.ref, self.target.uid, now, sightings.HUNG if hung else SAW.get(how))
         super().finish(how, keep)
 
     def outcome(self, how):
@@ -121,12 +130,12 @@
 
 class Harbour(Upstream):
     """The pool of one service. `loads(index, running, waiting, slots)` is told what answers say of their server,
-    `gone(uid)` that another has its address."""
+    `gone(uid)` that another has its address, `glass` how each request ends."""
     kind = Haul
 
-    def __init__(self, loop, desk, bounds, health, log, loads, gone):
+    def __init__(self, loop, desk, bounds, health, log, loads, gone, glass):
         super().__init__(loop, desk, bounds, False, log)
-        self.loads, self.gone = loads, gone
+        self.loads, self.gone, self.glass = loads, gone, glass
         self.rest_most = bounds.link_idle  # how long a connection may have rested to carry what may run only once
         self.probe_text = b"GET %s HTTP/1.1\r\nHost: health\r\n\r\n" % health
 
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -25,6 +25,7 @@
 from ..tide.tide import Tide
 from ..watch import platform
 from ..watch.poller import Poller
+from ..watch.sightings import ROWS, Register
 from ..watch.word import TERM, Lookout
 from . import bounds as limits
 from .orders import Orders
@@ -59,6 +60,7 @@
         self.tide_at = 0  # when the timer that asks the tide is due; 0: there is none
         self.pilot = Pilot(loop, self.clock, papers, bounds, self.draw, self.tide, self.fresh, log)
         self.pilot.took = self.arm_tide
+        self.register = Register()
         self.gate = Gate(loop, self.pilot, bounds, log)
         self.state = None
         self.keeper, self.disk, self.logbook = None, None, None
@@ -94,6 +96,11 @@
             if ip == self.holder:
                 self.tide.told(now, message["m"])
                 self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
+        elif kind == "sight":
+            self.sighted(ip, message["r"], now)
+        elif kind == "dim":
+            if ip == self.lookout.leader:
+                self.pilot.sighted(message["r"])
         elif kind in ("order", "said"):
             self.orders.heard(ip, message)
         elif self.keeper:
@@ -103,6 +110,15 @@
                 self.counts["frames_odd"] += 1
                 self.log.note("odd frame", ip, why=str(odd))
 
+    # ---- what servers look like to the fleet
+
+    def sighted(self, ip, rows, now):
+        """Reports come to the leader alone; what they bear out goes to all, itself too."""
+        if self.lookout.leads and (news := self.register.take(ip, rows, self.pilot.nodes, now)):
+            for start in range(0, len(news), ROWS):
+                for peer in {*self.lookout.peers, self.papers.ip}:
+                    self.send(peer, {"k": "dim", "r": news[start:start + ROWS]})
+
     # ---- the keeper
 
     def tell(self, told):
@@ -183,6 +199,7 @@
     def serve(self, servers):
         self.lookout.servers = servers.number
         self.pilot.listed(servers)
+        self.register.listed((row.id, row.zone) for row in servers.rows)
 
     def pack_servers(self, now):
         return platform.pack(self.pilot.servers, now)
@@ -253,6 +270,8 @@
         self.tell(lt.Tick())
         self.lookout.tick(now)
         self.orders.tick(now)
+        if (rows := self.pilot.glass.due(now)) and self.lookout.leader:
+            self.send(self.lookout.leader, {"k": "sight", "r": rows})
         self.look(now)
         self.arm_tide()
 
