A station is given what it stands on: clock, wire, disk and poller

The model is to play the very Station that serves, so the station no longer makes these itself. Default as before; the tests that put others in place by patching the module hand them over now.

--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -8,26 +8,23 @@
 import os
 import random
 import zlib
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 from ..chart import chart as charts, papers as papers_of
-from ..flags.wire import Wire
 from ..lighthouse import terms as lt
 from ..lighthouse.keeper import Keeper
-from ..lighthouse.logbook import Logbook
 from ..lighthouse.state import from_plain
-from ..net.desk import Clock, Timers
+from ..net.desk import Timers
 from ..pilot.core import Pilot
 from ..pilot.front import Gate
 from ..tide import words
 from ..tide.gauge import Gauge
 from ..tide.tide import Tide
 from ..watch import platform
-from ..watch.poller import Poller
 from ..watch.word import TERM, Lookout
 from . import bounds as limits
 from .orders import Orders
+from .ports import PORTS
 
 MS, SEC = 10 ** 6, 10 ** 9
 TICK, SOON = 100 * MS, 25 * MS  # the one beat of all parts that look at the time; and until the first word
@@ -38,16 +35,16 @@
 
 
 class Station:
-    def __init__(self, loop, papers, log, seed, path=None):
+    def __init__(self, loop, papers, log, seed, path=None, ports=PORTS):
         self.path, self.seen = path, None  # the settings file, and what it looked like last
         self.loop, self.papers, self.log, self.counts = loop, papers, log, log.counts
-        self.clock = Clock()
+        self.clock = ports.clock()
         self.timers = Timers(loop, self.clock)
         self.draw = random.Random(seed)
         now = self.clock()
         seeds = [host for host, _ in papers.seeds]
         bounds = limits.fill(papers)
-        self.wire = Wire(loop, self.clock, papers.ip, papers.ports[0], log, self.heard)
+        self.wire = ports.wire(loop, self.clock, papers.ip, papers.ports[0], log, self.heard)
         front = "%s:%d" % papers.front if papers.front else ""
         self.lookout = Lookout(papers.name, papers.ip, papers.zone, front, seeds, self.draw, self)
         self.lease = papers.terms.revoke_within - MARGIN if papers.terms.revoke_everywhere else 60 * SEC
@@ -64,15 +61,17 @@
         self.keeper, self.disk, self.logbook = None, None, None
         self.orders = Orders(self)
         if papers.folder:
-            self.disk = ThreadPoolExecutor(1)  # a disk that hangs holds up nobody but the keeper
-            self.logbook = Logbook(papers.folder)
+            self.disk = ports.crew(1)
+            self.logbook = ports.logbook(papers.folder)
             try:
                 self.keeper = Keeper(papers.name, papers.ip, seeds, True, papers.first, self.logbook.load(), self.draw,
                                      papers.survive[0], now)
             except OSError as trouble:
                 # Guards the core against a member that cannot read what it promised: this life it serves clients alone.
                 log.say("disk unread", why=repr(trouble))
-        self.poller = Poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL) if papers.platform else None
+        self.poller = None
+        if papers.platform:
+            self.poller = ports.poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL)
         self.polling, self.ending = False, False
 
     # ---- between nodes
@@ -273,15 +272,18 @@
 
     def start(self):
         self.loop.run_until_complete(self.listen())
-        self.log.say("starts", zone=self.papers.zone, disk=bool(self.keeper), first=self.papers.first)
-        self.tell(None)
-        self.tick()
-        self.sweep()
+        self.begin()
         if self.path:
             self.look_at_file()
         gc.collect()
         gc.freeze()  # what stands from the start on is not looked through again
 
+    def begin(self):
+        self.log.say("starts", zone=self.papers.zone, disk=bool(self.keeper), first=self.papers.first)
+        self.tell(None)
+        self.tick()
+        self.sweep()
+
     def look_at_file(self):
         """The settings may change without a signal (PROTOCOL.md, "The operator")."""
         self.timers.after(LOOK, self.look_at_file)
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -736,16 +736,16 @@
 
 
 @pytest.fixture
-def station(monkeypatch):
+def station():
     """A station without a disk whose loop is a `Quay`."""
-    from rampfront.station import station as module
+    from rampfront.station.ports import Ports
+    from rampfront.station.station import Station
     q = Quay()
     q.add_signal_handler = q.run_in_executor = None
-    monkeypatch.setattr(module, "Clock", lambda: q.clock)
-    monkeypatch.setattr(module, "Wire", Ears)
     q.stopped = []
     q.stop = lambda: q.stopped.append(q.now)
-    made = module.Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3)
+    made = Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3,
+                   ports=Ports(clock=lambda: q.clock, wire=Ears))
     made.gate.server = q
     q.gate, q.pilot, q.station = made.gate, made.pilot, made
     made.tick()
