A model of the whole: stations, clients, servers, platform and operators on one fake clock

The core's model plays keepers alone, the quotas' one tides alone. This one plays the very Station with everything below it but sockets, from a plan drawn from the seed; what breaks a rule is made small and printed as a test.

--- a/rampfront/model/__main__.py
+++ b/rampfront/model/__main__.py
@@ -1,34 +1,59 @@
-"""`python -m rampfront.model --seeds 1000 --members 4`: plays seeded schedules against the core."""
+"""`python -m rampfront.model --seeds 1000 --members 4`: plays seeded schedules against the core alone; with `--whole` against
+whole stations, their clients, servers and operators (`voyage.py`)."""
 
 import os
 import time
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from traceback import format_exc
 
 import click
 
 from .schedule import Run
+from .shrink import as_test, shrink
+from .voyage import Voyage
 
 PART = 25  # schedules that a worker plays before it reports
 
 
+def told(run, what, log):
+    """A failing schedule in lines."""
+    course = run.world if hasattr(run, "world") else run.fleet
+    lines = [what]
+    lines += [f"  {at / 1e9:9.4f} s  {text} {' '.join(map(str, args))}" for at, text, args in log(course)]
+    return "\n".join(lines + [f"  broken at {course.now / 1e9:.4f} s"]) + "\n" + format_exc()
+
+
 def play(seed, members, survive):
     """(counts, steps, None), or what broke and the schedule."""
     run = None
     try:
         run = Run(seed, members, survive)
-        counts = run.play()
-        return counts, run.world.steps, None
+        return run.play(), run.world.steps, None
+    except Exception:
+        if run is None:
+            return {}, 0, f"seed {seed}\n{format_exc()}"
+        return run.world.counts, run.world.steps, told(run, f"seed {seed}, {members} members", lambda world: world.log)
+
+
+def sail(seed, nodes, disks):
+    """The same for a run of the whole."""
+    voyage = None
+    try:
+        voyage = Voyage(seed, nodes, disks)
+        counts = voyage.play()
+        failure = None
     except Exception:
-        lines = [f"seed {seed}, {members} members"]
-        if run is not None:
-            lines += [f"  {at / 1e9:9.4f} s  {text} {' '.join(map(str, args))}" for at, text, args in run.world.log]
-            lines.append(f"  broken at {run.world.now / 1e9:.4f} s")
-        return (run.world.counts if run else {}), run.world.steps if run else 0, "\n".join(lines) + "\n" + format_exc()
+        if voyage is None:
+            return {}, 0, f"seed {seed}\n{format_exc()}"
+        counts = voyage.fleet.counts
+        failure = told(voyage, f"seed {seed}, {nodes} nodes", lambda fleet: fleet.log)
+    counts.update({f"near {what} % most": round(100 * part) for what, part in voyage.watch.most.items()})
+    return counts, voyage.fleet.steps, failure
 
 
-def part(seeds, members, survive):
-    return [play(seed, members, survive) for seed in seeds]
+def part(seeds, one):
+    return [one(seed) for seed in seeds]
 
 
 @click.command()
@@ -38,31 +63,45 @@
 @click.option("--survive", default=None, type=int, help="Of them that may be lost at once; else as many as can be.")
 @click.option("--workers", default=os.cpu_count(), show_default=True)
 @click.option("--show", default=3, show_default=True, help="Failing schedules to print whole.")
-def main(seeds, first, members, survive, workers, show):
+@click.option("--whole", is_flag=True, help="Whole stations, with clients, servers, platform and operators.")
+@click.option("--nodes", default=11, show_default=True, help="Stations of the whole.")
+@click.option("--shrink", "small", is_flag=True, help="Of the whole: makes the plan of the seed --first small and prints it as a test.")
+def main(seeds, first, members, survive, workers, show, whole, nodes, small):
     """Plays schedules, each from its seed; prints those that break a promise, and counts."""
-    began, total, most, steps, broken = time.monotonic(), {}, 0, 0, []
-    parts = [range(start, min(start + PART, first + seeds)) for start in range(first, first + seeds, PART)]
+    members = members if members != 4 or nodes < 20 else 6
+    if small:
+        found = shrink(first, nodes, members, told=partial(click.echo, err=True))
+        click.echo(f"{as_test(first, nodes, found[0])}\n{found[1]}" if found else f"seed {first} breaks nothing")
+        raise SystemExit(bool(found))
+    began, total, most, steps, broken = time.monotonic(), {}, {}, 0, []
+    size = 5 if whole else PART
+    parts = [range(start, min(start + size, first + seeds)) for start in range(first, first + seeds, size)]
+    one = partial(sail, nodes=nodes, disks=members) if whole else partial(play, members=members, survive=survive)
     with ProcessPoolExecutor(workers) as pool:
         played = 0
-        for results in pool.map(part, parts, [members] * len(parts), [survive] * len(parts)):
+        for results in pool.map(part, parts, [one] * len(parts)):
             for counts, taken, failure in results:
                 played, steps = played + 1, steps + taken
-                most = max(most, counts.pop("calm_ms_most", 0))
                 for what, count in counts.items():
-                    total[what] = total.get(what, 0) + count
+                    if what.endswith("most"):
+                        most[what] = max(most.get(what, 0), count)
+                    else:
+                        total[what] = total.get(what, 0) + count
                 if failure is not None:
                     broken.append(failure)
                     if len(broken) <= show:
                         click.echo(failure)
-            if played % (PART * 40) == 0:
+            if played % (size * 40) == 0:
                 click.echo(f"{played} schedules, {len(broken)} broken, {time.monotonic() - began:.0f} s", err=True)
     took = time.monotonic() - began
     pace = seeds / took * 60
-    click.echo(f"schedules {seeds} of {members} members, {took:.1f} s ({pace:.0f} a minute), {steps} steps")
+    what = f"{nodes} nodes, {members} of them with a disk" if whole else f"{members} members"
+    click.echo(f"schedules {seeds} of {what}, {took:.1f} s ({pace:.0f} a minute), {steps} steps")
     click.echo("  ".join(f"{what} {count}" for what, count in sorted(total.items())))
-    click.echo(f"slowest order in calm {most} ms; broken {len(broken)}")
+    click.echo("  ".join(f"{what.removesuffix(' most').removesuffix('_most')} {count} at most" for what, count in sorted(most.items()))
+               + f"; broken {len(broken)}")
     if broken:
-        click.echo("seeds: " + " ".join(text.split(",", 1)[0][5:] for text in broken[:50]))
+        click.echo("seeds: " + " ".join(f"{text.split(',', 1)[0][5:]} ({text.strip().splitlines()[-1][-110:]})\n  " for text in broken[:50]))
     raise SystemExit(bool(broken))
 
 
--- /dev/null
+++ b/rampfront/model/fleet.py
@@ -0,0 +1,575 @@
+"""Whole stations, joined as the serving process joins them, in one process on a fake clock: machines with their loops,
+disks, clocks and links, and what may befall them. The `Station`, and all below it, is the one that serves; what stands
+for the kernel is here: `Loop`, `Link`, `Caller`, `Frames`, `Plate`."""
+
+from functools import partial
+from random import Random
+
+import cbor2
+
+from ..chart import papers as papers_of
+from ..flags.wire import Wire
+from ..net.notes import Notes
+from ..station.doors import Control, Directory
+from ..station.log import COUNTED
+from ..station.ports import Ports
+from ..station.station import Station
+from .ashore import Platform, Reader, Server
+from .checks import Broken, Ledger
+from .world import Course, Disk
+
+MS, SEC = 10 ** 6, 10 ** 9
+EPOCH = 10 ** 17  # ns: the fleet's time 0 by the machines' clocks
+AGAIN = 200 * MS  # what a cut or a loss keeps from a connection is sent again
+ZONES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+
+class Quiet(Notes):
+    def __init__(self, name):
+        super().__init__(name, SEC, COUNTED)
+
+    def say(self, event, **more):
+        pass
+
+    def note(self, event, party, **more):
+        pass
+
+    def sweep(self):
+        pass
+
+
+class Handle:
+    __slots__ = "what", "about"
+
+    def __init__(self, what, about):
+        self.what, self.about = what, about
+
+    def run(self):
+        if self.what is not None:
+            self.what(*self.about)
+
+    def cancel(self):
+        self.what = None
+
+
+class Stored:
+    """A save on its way to the disk."""
+    __slots__ = "trouble", "done"
+
+    def exception(self):
+        return self.trouble
+
+    def add_done_callback(self, done):
+        self.done = done
+
+
+class Loop:
+    """What a station uses of its event loop, for one life of its machine. What comes due while the machine is frozen
+    waits until it is thawed."""
+
+    def __init__(self, fleet, machine):
+        self.fleet, self.machine, self.life = fleet, machine, machine.life
+
+    def call_later(self, delay, what, *about):
+        handle = Handle(what, about)
+        self.fleet.at(self.fleet.now + int(delay * SEC), self.fleet.do, self.machine, self.life, handle.run)
+        return handle
+
+    def call_soon(self, what, *about):
+        return self.call_later(0, what, *about)
+
+    def run_in_executor(self, _, save, record):
+        return self.fleet.store(self, record)
+
+    def create_connection(self, make, host, port):
+        return Link(self, make, host, port)
+
+    def create_task(self, task):
+        return task  # it is under way
+
+    def stop(self):
+        self.fleet.stop(self.machine, "ended")
+
+
+class Link:
+    """A connection from a station to a server: the task that opens it, then its transport."""
+
+    def __init__(self, loop, make, host, port):
+        self.loop, self.fleet, self.machine, self.make = loop, loop.fleet, loop.machine, make
+        self.address, self.protocol, self.server, self.trouble = (host, port), None, None, None
+        self.closed, self.off, self.ends = False, False, []
+        self.request = None
+        self.far = self.fleet.place_of.get(self.address, "s:?")
+        self.pair, self.back = (self.machine.ip, self.far), (self.far, self.machine.ip)
+        self.fleet.flow(self.pair, self, self.knock)
+
+    # as a task
+
+    def add_done_callback(self, what):
+        self.ends.append(what)
+
+    def cancel(self):
+        self.off = self.closed = True
+
+    def cancelled(self):
+        return self.off
+
+    def exception(self):
+        return self.trouble
+
+    def knock(self):
+        fleet, server = self.fleet, self.fleet.at_address.get(self.address)
+        if server is None or not server.up:
+            if server is None or not server.dark:
+                fleet.flow(self.back, self, fleet.do, self.machine, self.loop.life, self.refused)
+            return
+        self.server = server
+        fleet.links.setdefault(server, {})[self] = None
+        fleet.flow(self.back, self, fleet.do, self.machine, self.loop.life, self.opened)
+
+    def refused(self):
+        if not self.closed:
+            self.trouble, self.closed = ConnectionRefusedError(), True
+            for what in self.ends:
+                what(self)
+
+    def opened(self):
+        if not self.closed:
+            self.protocol = self.make()
+            self.protocol.connection_made(self)
+            for what in self.ends:
+                what(self)
+
+    # as a transport
+
+    def write(self, data):
+        if not self.closed:
+            self.fleet.flow(self.pair, self, self.server.take, self, bytes(data))
+
+    def writelines(self, parts):
+        self.write(b"".join(parts))
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        if not self.closed:
+            self.closed = True
+            if self.server:
+                self.fleet.links.get(self.server, {}).pop(self, None)
+                self.fleet.at(self.fleet.now + self.fleet.way(*self.pair), self.server.dropped, self)
+
+    close = abort
+
+    # the far side
+
+    def reply(self, data):
+        self.fleet.flow(self.back, self, self.fleet.do, self.machine, self.loop.life, self.feed, data)
+
+    def feed(self, data):
+        feed(self, data)
+
+    def lost(self):
+        """The server's end is gone, or the network says so."""
+        fleet = self.fleet
+        fleet.at(fleet.now + fleet.way(*self.pair), fleet.do, self.machine, self.loop.life, self.reset)
+
+    def reset(self):
+        if not self.closed:
+            self.closed = True
+            if self.server:
+                self.fleet.links.get(self.server, {}).pop(self, None)
+                self.server.dropped(self)
+            if self.protocol is None:
+                self.trouble = ConnectionResetError()
+                for what in self.ends:
+                    what(self)
+            else:
+                self.protocol.connection_lost(ConnectionResetError())
+
+
+def feed(conn, data):
+    while data and not conn.closed:
+        space = conn.protocol.get_buffer(-1)
+        part, data = data[:len(space)], data[len(space):]
+        space[:len(part)] = part
+        conn.protocol.buffer_updated(len(part))
+
+
+class Caller:
+    """A client's connection, as the front sees it: one request, one answer."""
+
+    def __init__(self, fleet, machine, far, request):
+        self.fleet, self.machine, self.far, self.request = fleet, machine, far, request
+        self.life, self.closed, self.protocol = machine.life, False, None
+        self.pair, self.back = (far, machine.ip), (machine.ip, far)
+
+    def arrive(self, data):
+        machine = self.machine
+        if not machine.up or machine.life != self.life:
+            return self.fleet.flow(self.back, self, self.request.failed, "refused")
+        self.fleet.callers.setdefault(machine, {})[self] = None
+        self.fleet.do(machine, self.life, self.take, data)
+
+    def take(self, data):
+        gate = self.machine.station.gate
+        if self.closed:
+            return
+        if gate.closing:
+            return self.fleet.flow(self.back, self, self.request.failed, "refused")
+        self.protocol = gate.kind(gate)
+        self.protocol.connection_made(self)
+        feed(self, data)
+
+    def write(self, data):
+        if not self.closed:
+            self.fleet.flow(self.back, self, self.request.answered, bytes(data))
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+    def abort(self):
+        if not self.closed:
+            self.closed = True
+            self.fleet.callers.get(self.machine, {}).pop(self, None)
+            self.fleet.at(self.fleet.now, self.fleet.do, self.machine, self.life, self.parted)
+            # behind whatever answer is on its way
+            self.fleet.at(self.fleet.now + self.fleet.way(*self.back) + 2 * AGAIN, self.request.failed, "closed")
+
+    close = abort
+
+    def parted(self):
+        if self.protocol:
+            self.protocol.connection_lost(None)
+
+    def left(self):
+        """The client goes away."""
+        if not self.closed:
+            self.closed = True
+            self.fleet.callers.get(self.machine, {}).pop(self, None)
+            fleet = self.fleet
+            fleet.at(fleet.now + fleet.way(*self.pair), fleet.do, self.machine, self.life, self.parted)
+
+
+class Frames(Wire):
+    """The wire that serves, but for its sockets."""
+
+    def pass_on(self, ip, data):
+        if ip == self.ip:
+            self.loop.call_soon(self.read, ip, data)
+        else:
+            self.loop.fleet.frame(self, ip, data)
+
+
+class Plate:
+    """The machine's disk, where the logbook stands."""
+
+    def __init__(self, machine, folder):
+        self.machine, self.save = machine, None
+
+    def load(self):
+        return self.machine.disk.record
+
+
+class Machine:
+    def __init__(self, number, zone, disk, sync):
+        self.name, self.ip, self.zone, self.region = f"n{number}", f"10.0.{number >> 8}.{number & 255}", zone, ZONES[zone]
+        self.counted, self.disk = disk, Disk(sync) if disk else None
+        self.station, self.loop, self.life, self.up, self.frozen = None, None, 0, False, False
+        self.inbox, self.offset, self.ruled, self.revision = [], 0, 0, 0
+        self.wiped_at, self.joining, self.leads = -60 * SEC, False, False
+        self.troubles, self.calm_at, self.began = 0, 0, False
+        self.control = self.directory = None
+
+    @property
+    def keeper(self):
+        return self.station.keeper
+
+
+class Asked:
+    """A call to the directory or of an operator."""
+    __slots__ = "query", "body", "answer", "path"
+
+    def __init__(self, query, body=b"", answer=None):
+        self.query, self.body, self.answer, self.path = query, body, answer, ""
+
+
+class Fleet(Course):
+    """`watch`: what looks on (`rules.Watch`). Machines with a disk go first; the first of them founds."""
+
+    def __init__(self, seed, nodes=11, disks=4, survive=None, sync=MS):
+        super().__init__()
+        self.chance = Random(seed)
+        zones = list(ZONES)
+        self.machines = [Machine(k + 1, zones[k % 4], k < disks, sync) for k in range(nodes)]
+        self.core = self.machines[:disks]
+        self.by_ip = {machine.ip: machine for machine in self.machines}
+        self.survive = max(0, (disks - 1) // 2) if survive is None else survive
+        self.seeds = [machine.ip for machine in self.core[:3]]
+        self.ledger, self.watch = Ledger(), None
+        self.cuts, self.reset, self.loss, self.repeat, self.slow = {}, set(), 0.005, 0.002, 0
+        self.core_troubles, self.core_calm_at = 0, 0
+        self.links, self.callers = {}, {}  # by server and by machine: connections that stand
+        self.place_of, self.at_address, self.servers, self.requests, self.refuses = {}, {}, [], {}, {}
+        self.platform = Platform(self, self.chance.choice((200, 500, 1000)) * MS, 10 if nodes < 20 else 60)
+        self.uids = 0
+        self.way_of = {}
+
+    # ---- time and links
+
+    def do(self, machine, life, act, *args):
+        """In one life of a machine; while it is frozen, later."""
+        if machine.life == life and machine.up:
+            if machine.frozen:
+                machine.inbox.append((act, args))
+            else:
+                self.steps += 1
+                act(*args)
+
+    def zone(self, end):
+        machine = self.by_ip.get(end)
+        return machine.zone if machine else end[2:] if end[1:2] == ":" else "a1"
+
+    def way(self, src, dst):
+        """ns from one place to another."""
+        base = self.way_of.get((src, dst))
+        if base is None:
+            one, two = self.zone(src), self.zone(dst)
+            base = 200_000 if one == two else 500_000 if ZONES.get(one) == ZONES.get(two) else 12 * MS
+            base += 3 * MS if src[:2] == "c:" or dst[:2] == "c:" else 0
+            self.way_of[src, dst] = base
+        return base + int(self.chance.random() * (base // 2 + 300_000)) + (self.chance.randrange(self.slow) if self.slow else 0)
+
+    def cut(self, pair):
+        return pair in self.cuts
+
+    def flow(self, pair, conn, what, *args):
+        """Bytes of a connection: they come, however late, unless it ends first."""
+        if conn.closed:
+            return
+        if pair in self.cuts:
+            if pair in self.reset and hasattr(conn, "reset"):
+                return conn.lost()
+            return self.at(self.now + AGAIN, self.flow, pair, conn, what, *args)
+        late = AGAIN if self.chance.random() < self.loss else 0
+        self.at(self.now + self.way(*pair) + late, what, *args)
+
+    def frame(self, wire, ip, data):
+        """A frame between two machines: it may be lost, come twice, or be passed by a later one."""
+        peer, mine = self.by_ip.get(ip), wire.ip
+        if peer is None or (mine, ip) in self.cuts or self.chance.random() < self.loss:
+            return
+        wait = self.way(mine, ip)
+        self.at(self.now + wait, self.land, mine, peer, data)
+        if self.chance.random() < self.repeat:
+            self.at(self.now + wait + self.chance.randrange(300 * MS), self.land, mine, peer, data)
+
+    def land(self, ip, peer, data):
+        if peer.up and (ip, peer.ip) not in self.cuts:
+            self.do(peer, peer.life, peer.station.wire.read, ip, data)
+
+    # ---- machines
+
+    def papers(self, machine):
+        ip, own = machine.ip, f"{machine.ip}:"
+        found = papers_of.read({
+            "Self": {"NodeName": machine.name, "Zone": machine.zone, "Ip": ip, "Serves": ["front", "control", "directory"],
+                     "DataFolder": "disk" if machine.disk else "", "FirstBoot": not machine.began},
+            "Network": {"ListenOn": {"Front": own + "80", "ReadyCheck": own + "81", "Control": own + "82",
+                                     "Directory": own + "83"},
+                        "PortRange": [7000, 7001], "SeedNodes": [f"{seed}:82" for seed in self.seeds], "Zones": ZONES},
+            "Hosting": {"PlatformApi": {"Address": "10.200.0.1:80", "PerS": 10, "MaxLag": "1s"}},
+            "AgreedTerms": {"Survive": {"Machines": self.survive}, "Guarantees": {"QuotaWindow": "5s"}}})
+        return found.ok_value
+
+    def start(self, machine):
+        if machine.up:
+            return
+        machine.life += 1
+        machine.up, machine.frozen, machine.inbox, machine.ruled, machine.revision = True, False, [], 0, 0
+        machine.leads = False
+        machine.offset = EPOCH + self.chance.randrange(SEC)
+        machine.loop = loop = Loop(self, machine)
+        ports = Ports(clock=lambda: (lambda: machine.offset + self.now), wire=Frames, logbook=partial(Plate, machine),
+                      crew=lambda count: None, poller=Reader)
+        station = machine.station = Station(loop, self.papers(machine), Quiet(machine.name), self.chance.getrandbits(64),
+                                            ports=ports)
+        station.gate.server = Listener
+        machine.control, machine.directory = Control(station), Directory(station)
+        self.watch.join(machine)
+        if machine.counted and not machine.began and station.keeper.entry is not None:
+            self.ledger.founders.add(machine.name)
+            if len(self.ledger.founders) > 1:
+                raise Broken("founded twice")
+        machine.began = True
+        self.calmer(machine)
+        self.do(machine, machine.life, station.begin)
+
+    def stop(self, machine, why="kill"):
+        """A kill, or a loss of power: a store under way has happened or not."""
+        if not machine.up:
+            return
+        if machine.frozen:
+            self.calmer(machine)
+        machine.up, machine.frozen, machine.inbox, machine.station = False, False, [], None
+        self.rougher(machine)
+        if (disk := machine.disk) is not None:
+            if disk.pending is not None and self.chance.random() < 0.3:
+                disk.record = disk.pending
+            disk.pending, disk.hangs = None, False
+        for server in self.links.values():
+            for conn in [conn for conn in server if conn.machine is machine]:
+                conn.abort()
+        for conn in list(self.callers.pop(machine, ())):
+            conn.closed = True
+            self.at(self.now + self.way(*conn.back), conn.request.failed, "reset")
+
+    def wipe(self, machine):
+        self.stop(machine)
+        machine.disk = Disk(machine.disk.usual)
+        machine.wiped_at, machine.joining = self.now, True
+
+    def freeze(self, machine):
+        if machine.up and not machine.frozen:
+            machine.frozen = True
+            self.rougher(machine)
+
+    def thaw(self, machine, life):
+        if machine.up and machine.life == life and machine.frozen:
+            machine.frozen = False
+            self.calmer(machine)
+            inbox, machine.inbox = machine.inbox, []
+            if self.chance.random() < 0.5:  # the loop's timers go before its sockets, or the other way round
+                inbox.sort(key=lambda row: getattr(row[0], "__func__", None) is not Handle.run)
+            for act, args in inbox:
+                self.do(machine, life, act, *args)
+
+    def store(self, loop, record):
+        """A save on the disk's thread."""
+        machine, disk, future = loop.machine, loop.machine.disk, Stored()
+        if disk.pending is not None:
+            raise Broken("two stores at once")
+        disk.pending = record
+        wait = disk.wait // 2 + self.chance.randrange(disk.wait + MS)
+        self.at(self.now + wait, self.stored, machine, loop.life, disk, future)
+        return future
+
+    def stored(self, machine, life, disk, future):
+        if machine.life != life or not machine.up or machine.disk is not disk:
+            return
+        if disk.hangs:
+            return self.at(self.now + 50 * MS, self.stored, machine, life, disk, future)
+        future.trouble = OSError("full") if disk.full else None
+        if not disk.full:
+            disk.record = disk.pending
+        disk.pending = None
+        self.do(machine, life, future.done, future)
+
+    # ---- who is in touch, as RULES has it, a little stricter
+
+    def rougher(self, machine):
+        machine.troubles += 1
+        if machine.counted:
+            self.core_calm_at = self.now
+
+    def calmer(self, machine):
+        machine.troubles = max(0, machine.troubles - 1)
+        machine.calm_at = self.now
+        if machine.counted:
+            self.core_calm_at = self.now
+
+    def settled_since(self):
+        """Since when the core is calm, and more than half of it up; None if it is not."""
+        up = sum(machine.up and not machine.frozen for machine in self.core)
+        if self.core_troubles or 2 * up <= len(self.core) or any(m.troubles and m.up for m in self.core):
+            return None
+        return self.core_calm_at
+
+    def touch_since(self, machine):
+        """Since when a machine is untroubled, the core too; None if it is not."""
+        settled = self.settled_since()
+        if settled is None or not machine.up or machine.troubles:
+            return None
+        return max(settled, machine.calm_at)
+
+    def sever(self, pairs, reset=False):
+        """Cuts pairs, one way each; each is counted, as cuts may overlap."""
+        for pair in pairs:
+            self.cuts[pair] = self.cuts.get(pair, 0) + 1
+            if reset:
+                self.reset.add(pair)
+            self.touched(pair, self.rougher, 1)
+        if reset:
+            for conns in self.links.values():
+                for conn in [conn for conn in conns if conn.pair in self.reset or conn.back in self.reset]:
+                    self.do(conn.machine, conn.loop.life, conn.reset)
+
+    def mend(self, pairs):
+        for pair in pairs:
+            if pair in self.cuts:
+                self.cuts[pair] -= 1
+                if not self.cuts[pair]:
+                    del self.cuts[pair]
+                    self.reset.discard(pair)
+                self.touched(pair, self.calmer, -1)
+
+    def touched(self, pair, what, count):
+        """Who is out of touch by the cut: whoever has no path both ways to a machine of the core."""
+        one, two = (self.by_ip.get(end) for end in pair)
+        if one and two:
+            if one.counted and two.counted:
+                self.core_troubles += count
+                self.core_calm_at = self.now
+            for end, other in ((one, two), (two, one)):
+                if other.counted:
+                    what(end) if not end.counted else self.plain(end, count)
+
+    def plain(self, machine, count):
+        machine.troubles = max(0, machine.troubles + count)
+        if count < 0:
+            machine.calm_at = self.now
+
+    # ---- servers
+
+    def serve(self, service, zone, cold, address=None):
+        self.uids += 1
+        uid = f"i{self.uids}"
+        if address is None:
+            address = (f"10.9.{self.uids >> 8}.{self.uids & 255}", 8080)
+        server = Server(self, uid, service, address, zone, 4, self.now + 3 * SEC if cold else 0)
+        self.servers.append(server)
+        self.place_of[address], self.at_address[address] = server.end, server
+        self.platform.changed()
+        return server
+
+    def retire(self, server):
+        """Off the list, behind its end."""
+        if server in self.servers:
+            self.servers.remove(server)
+            self.platform.changed()
+
+    def record(self, machine):
+        """(incarnation, stamp of the entry) on its disk."""
+        if machine.disk is None or machine.disk.record is None:
+            return None
+        _, incarnation, _, _, _, entry, _ = cbor2.loads(machine.disk.record)
+        return (incarnation, (entry[1], entry[0])) if entry else None
+
+
+class Listener:
+    """Of a front: nothing to close."""
+
+    @staticmethod
+    def close():
+        pass
--- /dev/null
+++ b/rampfront/model/rules.py
@@ -0,0 +1,236 @@
+"""The rules as an onlooker with the true time sees them kept or broken, in a run of the whole. A breach raises `Broken`.
+
+Source: RULES. Where the page leaves room, this is the stricter reading for what must hold at every machine, and the
+laxer one for who counts as in touch (any trouble of a machine of the core unsettles all)."""
+
+from bisect import bisect_left, insort
+from collections import deque
+
+from .checks import Broken
+
+MS, SEC = 10 ** 6, 10 ** 9
+IN_TOUCH, DRAIN, EMPTY_ZONE = 4 * SEC, 3 * SEC, 5 * SEC  # as Terms of the papers have them by default
+APPLY, REVOKE, ACK, RECOVERY = 3 * SEC, 5 * SEC, 6 * SEC, 15 * SEC
+RATIO, EXTRA, RETRY = 0.2, 50, 10 * SEC
+WINDOW, EXCESS, SLACK = 5 * SEC, 0.1, 20
+COLD_MOST = 2.0 * 1.5 + 5  # of a cold server in a second
+QUOTAS = {"hot": (12, 12), "two": (20, 10), "low": (3, 3)}  # PerS and Burst; never changed within a run
+PROMISES = (408, 421, 429, 503)
+
+
+class Watch:
+    def __init__(self, fleet):
+        self.fleet, self.ledger = fleet, fleet.ledger
+        self.acked = []  # (when the operator had it, ordinal of the configuration), both rising
+        self.evacuated = {}  # zone to [(acknowledged at, taken back at or None)]
+        self.ran = {name: [] for name in QUOTAS}  # (arrived, sent) of those that ran, by arrival
+        self.asked, self.again = {}, {}  # by service: when requests were sent; when repeats arrived
+        self.most = {}  # how near to a bound it came, in parts of it
+        self.founded = set()
+
+    def near(self, what, part):
+        if part > self.most.get(what, 0.0):
+            self.most[what] = part
+
+    def touch(self, machine, since):
+        """Whether a machine was in touch at `since`, and has been since."""
+        calm = self.fleet.touch_since(machine)
+        return calm is not None and calm + IN_TOUCH <= since
+
+    # ---- one machine
+
+    def join(self, machine):
+        """Looks on at what a station applies and claims, from its start on."""
+        station, fleet = machine.station, self.fleet
+        apply, rule, take, give = station.apply, station.rule, station.pilot.take, station.orders.give
+
+        def applied(state):
+            apply(state)
+            self.applied(machine, station)
+
+        def ruled(now):
+            rule(now)
+            self.ruled(machine, station)
+
+        def taken(client, method, url, host, path, fields, said, body):
+            tag = (said.get(b"try-id") or b"").decode()
+            if request := fleet.requests.get(tag):
+                self.taken(machine, station, request)
+            take(client, method, url, host, path, fields, said, body)
+
+        def given(kind, body, done):
+            call = fleet.calling
+
+            def ended(verdict, state):
+                if verdict == "done" and call is not None:
+                    self.ledger.done(fleet.now, call, state)
+                done(verdict, state)
+            give(kind, body, ended)
+        station.apply, station.rule, station.pilot.take, station.orders.give = applied, ruled, taken, given
+
+    def applied(self, machine, station):
+        state = station.state
+        self.ledger.ruled(machine, state)
+        revision = station.pilot.chart.revision if station.pilot.chart else 0
+        if revision < machine.revision:
+            raise Broken(f"{machine.name} goes back from r{machine.revision} to r{revision}")
+        machine.revision = revision
+        if machine.joining and machine.keeper and state.members.get(machine.name, (0, 0))[1] == machine.keeper.incarnation:
+            machine.joining = False
+        if machine.keeper and machine.keeper.helm is not None and state.index not in self.founded:
+            self.founded.add(state.index)
+            self.counted(machine, state)
+
+    def counted(self, machine, state):
+        """What a leader calls in force lies on the disks of a majority, of no one that forgot."""
+        held = set()
+        for other in self.fleet.core:
+            if (record := self.fleet.record(other)) and record[1] >= state.stamp:
+                held.add((other.name, record[0]))
+        if not state.agreed(held):
+            raise Broken(f"{machine.name} calls {state.index} in force, which lies on {sorted(held)} alone")
+
+    def ruled(self, machine, station):
+        keeper = station.keeper
+        if keeper is None:
+            return
+        if keeper.helm is not None:
+            if not machine.leads:
+                self.ledger.led(machine, keeper.term)
+                self.fleet.count("leaders")
+            at = keeper.backed_at
+            if at is not None:
+                self.ledger.backed(machine, at - machine.offset)
+        machine.leads = keeper.helm is not None
+
+    def word(self):
+        """The claim on which every lease rests: what was acknowledged before the word's time is held. Looked at often."""
+        for machine in self.fleet.machines:
+            if machine.up and (at := machine.station.lookout.word_at) is not None:
+                newest, state = self.ledger.newest(at - machine.offset), machine.station.state
+                if newest and (state is None or state.index < newest):
+                    raise Broken(f"{machine.name} lacks {newest}, and its word is younger than that")
+
+    # ---- requests
+
+    def sent(self, request):
+        self.asked.setdefault(request.service, []).append(self.fleet.now)
+
+    def taken(self, machine, station, request):
+        """A front has read it: by an older configuration than it must know?"""
+        request.machine = machine
+        chart, fleet = station.pilot.chart, self.fleet
+        request.revision = chart.revision if chart else 0
+        at = bisect_left(self.acked, (request.sent - APPLY, 0))
+        if at and chart is not None and station.fresh(station.clock()):
+            must = self.acked[at - 1][1]
+            if request.revision < must and self.touch(machine, request.sent):
+                raise Broken(f"CONFIG: {machine.name} goes by r{request.revision}, r{must} was acknowledged "
+                             f"{(request.sent - self.acked[at - 1][0]) / SEC:.2f} s before")
+        request.touch = self.touch(machine, request.sent)
+        fleet.count("taken")
+
+    def arrived(self, server, machine, job):
+        """A request reaches its server, which has the id that it wants."""
+        fleet, request, now = self.fleet, job.request, self.fleet.now
+        request.arrivals += 1
+        if request.arrivals > 1:
+            self.repeated(server.service, now)
+        if server.service != request.service:
+            raise Broken(f"ROUTE: {request.tag} at {server.service}")
+        if server.cold_until > now:
+            server.arrivals.append((request.sent, now))
+            many = sum(sent >= now - SEC for sent, _ in server.arrivals[-40:])
+            self.near("cold", many / COLD_MOST)
+            if many > COLD_MOST:
+                raise Broken(f"FAILBACK: {server.uid} is cold, and gets {many} in a second")
+        self.key(request, now)
+        for acked, back in self.evacuated.get(server.zone, ()):
+            if acked is not None and (back is None or now < back) and now - acked > EMPTY_ZONE and self.touch(machine, now):
+                raise Broken(f"EVAC: {machine.name} sends to {server.uid} in {server.zone} {(now - acked) / SEC:.2f} s "
+                             "behind the acknowledgement")
+        if server.leaving_at is not None:
+            shown = server.leaving_at + fleet.platform.lag
+            if now - shown > DRAIN and fleet.platform.trouble_at + IN_TOUCH < shown and self.touch(machine, shown):
+                raise Broken(f"DRAIN: {machine.name} sends to {server.uid} {(now - shown) / SEC:.2f} s behind the list")
+
+    def key(self, request, now):
+        if request.key is None:
+            return
+        if request.tenant is None:
+            raise Broken(f"ROUTE: a key that never was: {request.key}")
+        if request.removed is not None:  # ordinal of the first configuration without it
+            gone = self.gone_at(request.removed)
+            if gone is not None and request.sent > gone + REVOKE:
+                raise Broken(f"CONFIG: {request.key} runs, {(request.sent - gone) / SEC:.2f} s behind its revocation, by "
+                             f"{request.machine.name} of r{request.revision}")
+
+    def gone_at(self, ordinal):
+        """When the first configuration of that ordinal or above was acknowledged."""
+        return next((at for at, acked in self.acked if acked >= ordinal), None)
+
+    def repeated(self, service, now):
+        again, asked = self.again.setdefault(service, deque()), self.asked.get(service, ())
+        again.append(now)
+        while again[0] < now - RETRY:
+            again.popleft()
+        def many(end):
+            return bisect_left(asked, end) - bisect_left(asked, end - RETRY)
+        most = RATIO * max(many(now + 1), many(now - RETRY // 2), many(now - RETRY)) + EXTRA
+        self.near("repeats", len(again) / most)
+        if len(again) > most:
+            raise Broken(f"BUDGET: {len(again)} repeats at {service}, {most:.0f} are allowed")
+
+    def runs(self, server, job):
+        request, fleet = job.request, self.fleet
+        request.runs += 1
+        fleet.count("runs")
+        if job.fields.get(b"customer", b"").decode() != (request.tenant or ""):
+            raise Broken(f"UNASKED: {request.tag} of {request.tenant} runs for {job.fields.get(b'customer')}")
+        if b"authorization" in job.fields:
+            raise Broken("UNASKED: a key is passed on")
+        if request.once and request.runs > 1:
+            raise Broken(f"TWICE: {request.tag}")
+        if request.once and request.status in PROMISES:
+            raise Broken(f"REFUSED: {request.tag} was answered {request.status}, and runs")
+        if request.runs == 1 and request.tenant in QUOTAS:
+            ran, now = self.ran[request.tenant], fleet.now
+            insort(ran, (now, request.sent))
+            del ran[:bisect_left(ran, (now - 2 * WINDOW, 0))]
+            per_s, burst = QUOTAS[request.tenant]
+            most = (per_s * WINDOW / SEC + burst) * (1 + EXCESS) + SLACK
+            many = sum(sent >= now - WINDOW for _, sent in ran)
+            self.near("quota", many / most)
+            if many > most:
+                raise Broken(f"QUOTA: {many} of {request.tenant} in {WINDOW // SEC} s, {most:.0f} are allowed")
+
+    def answered(self, request, status, body):
+        if request.once and status in PROMISES and request.runs:
+            raise Broken(f"REFUSED: {request.tag} has run, and is answered {status}")
+        if status == 200 and body != request.tag.encode():
+            raise Broken(f"MIXED: {request.tag} gets {body}")
+        if status in (400, 401, 404) and request.proper and request.touch:
+            raise Broken(f"DENIED: {request.tag} with {request.key} gets {status} from {request.machine.name}")
+
+    # ---- orders
+
+    def acknowledged(self, call, now):
+        if call.kind == "config":
+            if not self.acked or call.body[0] > self.acked[-1][1]:
+                self.acked.append((now, call.body[0]))
+        elif call.kind == "empty":
+            self.evacuated.setdefault(call.body, []).append((now, None))
+        self.fleet.count("done " + call.kind)
+
+    def taken_back(self, zone):
+        """The operator begins to take an evacuation back."""
+        rows = self.evacuated.get(zone, [])
+        self.evacuated[zone] = [(acked, back or self.fleet.now) for acked, back in rows]
+
+    def waits(self, call, now):
+        """An order must be acknowledged within AckWithin of a settled core."""
+        settled = self.fleet.settled_since()
+        if settled is not None and not self.fleet.cuts and call.verdict is None:
+            since = max(settled + IN_TOUCH, call.sent, self.fleet.links_calm_at)
+            if now - since > ACK:
+                raise Broken(f"no acknowledgement of {call.kind} {str(call.body)[:40]} in {(now - since) / SEC:.1f} s of a settled core")
--- a/rampfront/model/world.py
+++ b/rampfront/model/world.py
@@ -61,22 +61,12 @@
         self.open, self.risky = 0, False  # tries without an answer yet; whether one may have come into force
 
 
-class World:
-    def __init__(self, seed, members, survive, first_seeds=3, sync=MS):
-        self.chance = Random(seed)
-        self.now, self.heap, self.order = 0, [], 0
-        self.nodes = [Node(number, sync) for number in range(1, members + 1)]
-        self.by_ip = {node.ip: node for node in self.nodes}
-        self.seeds = [node.ip for node in self.nodes[:first_seeds]]
-        self.survive, self.ledger = survive, Ledger()
-        self.cuts, self.loss, self.repeat, self.slow = {}, 0.01, 0.005, 0
-        self.calls, self.log, self.counts = [], [], {}
-        self.carried = seed % 8 == 0  # these runs send everything through cbor2
-        self.on_done = self.on_vote = None
-        self.calm = self.alike = False
-        self.steps = 0
+class Course:
+    """A fake clock and what is to happen on it, in the order of time; what is told is kept for a failing seed."""
 
-    # Time.
+    def __init__(self):
+        self.now, self.heap, self.order = 0, [], 0
+        self.log, self.counts, self.steps = [], {}, 0
 
     def at(self, when, act, *args):
         self.order += 1
@@ -96,6 +86,21 @@
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
 
+
+class World(Course):
+    def __init__(self, seed, members, survive, first_seeds=3, sync=MS):
+        super().__init__()
+        self.chance = Random(seed)
+        self.nodes = [Node(number, sync) for number in range(1, members + 1)]
+        self.by_ip = {node.ip: node for node in self.nodes}
+        self.seeds = [node.ip for node in self.nodes[:first_seeds]]
+        self.survive, self.ledger = survive, Ledger()
+        self.cuts, self.loss, self.repeat, self.slow = {}, 0.01, 0.005, 0
+        self.calls = []
+        self.carried = seed % 8 == 0  # these runs send everything through cbor2
+        self.on_done = self.on_vote = None
+        self.calm = self.alike = False
+
     # Processes.
 
     def start(self, node, first=False):
