A holder that has no configuration yet answers no adds

Its gauge had no tenants, so its answer to who asked for all said that each was idle, and every pilot took its bucket for full.

--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -87,6 +87,8 @@
             self.lookout.on_word(ip, message, now)
             self.look(now)
         elif kind == "add":
+            if self.pilot.chart is None:
+                return  # Guards quotas: one that starts and knows no tenants yet would call them all idle
             self.send(ip, {"k": "sum", "m": self.gauge.add(now, ip, message["m"])})
             self.overflow()
         elif kind == "sum":
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -808,6 +808,18 @@
     assert q.got("d").status == 503
 
 
+def test_a_holder_without_tenants_says_nothing(station):
+    """A leader that starts again is still named as the holder: as long as it has no configuration it would answer that
+    every tenant is idle, and each pilot would let in a whole quota."""
+    add = {"k": "add", "m": {"l": 7, "s": 1, "a": [["ann", -1, 9, 0, 0]], "w": 1}}
+    station.heard("10.1.0.4", add)
+    assert station.wire.said == []
+    word(station, 5, tenants=[{"Name": "ann", "ApiKeys": ["k"], "PerS": 5, "Burst": 5}])
+    station.heard("10.1.0.4", add)
+    told = [message for ip, message in station.wire.said if ip == "10.1.0.4" and message["k"] == "sum"][-1]
+    assert [row[:3:2] for row in told["m"]["t"]] == [["ann", 9]]
+
+
 def test_odd_words_at_the_station(station):
     """A state whose body is not what its mark says, or a list that cannot be read: nothing of it comes into force."""
     q = station.loop
