A core of two outlives one lost disk

Members that two make up agree to nothing without each other, so the one that is left holds all that was agreed; it went on waiting for an incarnation that was gone. Behind three gaps of its knocks, with no leader heard, it stands for itself and takes the new one in. Closes the founding gap too, from the second member on.

--- a/rampfront/lighthouse/helm.py
+++ b/rampfront/lighthouse/helm.py
@@ -61,7 +61,8 @@
 
     def begin(self):
         """The entry found is stamped anew: only what is agreed in its own term counts for a leader."""
-        self.propose(base=self.keeper.standing().base)
+        standing = self.keeper.standing()
+        self.propose(members=standing.members, base=standing.base)
 
     def lost(self):
         return self.keeper.now - self.confirmed_at > ALONE
--- a/rampfront/lighthouse/keeper.py
+++ b/rampfront/lighthouse/keeper.py
@@ -23,6 +23,7 @@
 YIELD = 3 * SEC  # between two times that one which asks gives way to another
 REPEAT = 140 * MS  # until an unanswered question is sent again
 KNOCK, SEEK = 280 * MS, 1400 * MS  # gaps of asking to be taken in, and of a diskless one's asking who leads
+OUTLIVED = 3 * KNOCK  # for which one that lost its disk must have knocked before the other of two goes on alone
 RETRY = 200 * MS  # until a failed store is tried again
 FORGET = 4 * SEC  # a leader that nothing was heard of for so long is unknown
 OUT_GAP, OUT_TIMES = 500 * MS, 3  # a leader's word, so often and so far apart, that this one is no member
@@ -57,6 +58,7 @@
         self.met = []  # ips of members, as one of them told
         self.leaving = False
         self.out_at, self.out = -FORGET, 0
+        self.widow, self.knocker, self.knocker_at = None, None, 0  # see `outlive`
         self.version, self.under_way, self.retry_at = 0, None, 0
         self.born = 1 if record is None else 0  # version with which the incarnation goes to disk
         self.held = {}  # answers that wait for the disk: (ip, kind) to (version, message); emptied by `Stored`
@@ -223,6 +225,8 @@
         """The entry by whose members this one seeks a majority. The base is done with once it is in force: a majority
         of the base and of the members hold it, so none can win any more by the base alone."""
         entry, ruled = self.entry, self.ruled
+        if self.widow == entry.stamp:
+            return entry.next(members={self.me: entry.members[self.me]}, base=None)
         if entry.base is None:
             return entry
         return entry.next(base=None) if ruled is not None and ruled.stamp == entry.stamp else entry
@@ -272,8 +276,23 @@
         if self.helm is not None:
             self.helm.knocked(ip, message)
         elif self.entry is not None:
+            self.outlive(message)
             self.hint(ip)
 
+    def outlive(self, message):
+        """Guards a core of two against one lost disk: neither could ever agree to anything without the other, so this one
+        holds all that was agreed, and the old incarnation agrees to nothing any more. It goes on by itself and takes the
+        new one in. Only behind several knocks, as a late one proves nothing, and where no leader is heard."""
+        entry, name, who = self.entry, message["n"], (message["n"], message["i"])
+        both = entry.everyone()
+        if (self.recent() or len(both) != 2 or name == self.me or name not in both or entry.holds(*who)
+                or entry.members.get(self.me, (0, 0))[1] != self.incarnation):
+            self.knocker = None
+        elif self.knocker != who:
+            self.knocker, self.knocker_at = who, self.now
+        elif self.now - self.knocker_at >= OUTLIVED:
+            self.widow = entry.stamp
+
     def on_seek(self, ip, message):
         if self.entry is not None:
             self.hint(ip)
@@ -412,6 +431,7 @@
         if term > self.term:
             self.move(term)
         self.follow()
+        self.widow = self.knocker = None
         self.leader, self.leader_at, self.heard_at, self.out = ip, self.now, self.now, 0
         return True
 
--- a/tests/test_lighthouse.py
+++ b/tests/test_lighthouse.py
@@ -428,6 +428,45 @@
     assert leader.keeper.ruled.members[out.name][1] == out.keeper.incarnation not in (77, before)
 
 
+@pytest.mark.parametrize("leader", (True, False))
+def test_a_core_of_two_outlives_a_lost_disk(leader):
+    """Nothing is agreed without either, so the other one holds it all: it goes on alone, and takes the new one in."""
+    core = Core(2)
+    core.config(2), core.go(SEC)
+    lost = core.leader if leader else core.others(core.leader)[0]
+    other, = core.others(lost)
+    core.wipe(lost)
+    core.go(SEC)
+    core.start(lost)
+    core.go(4 * SEC)
+    assert core.leader is other and lost.keeper.ruled.rev == 2 and len(other.keeper.ruled.members) == 2
+    order = core.config(3)
+    core.go(SEC)
+    assert done(order) and not lost.joining
+
+
+def test_neither_of_two_goes_on_alone_for_a_late_knock():
+    """Nor while it hears a leader, nor for a silent other one, nor in a core of more."""
+    core = Core(2)
+    leader, other = core.leader, core.others(core.leader)[0]
+    knock = {"k": "knock", "n": leader.name, "i": 77, "x": 0}
+    for _ in range(20):
+        core.tell(other, t.Heard(leader.ip, knock)), core.go(100 * MS)
+    assert other.keeper.widow is None and core.leader is leader
+    core.stop(leader)
+    core.go(2 * SEC)
+    core.tell(other, t.Heard(leader.ip, knock))
+    core.go(3 * SEC)
+    assert not core.leaders
+    core = Core(3)
+    lost, gone, left = core.nodes
+    core.stop(gone), core.wipe(lost)
+    core.go(2 * SEC)
+    core.start(lost)
+    core.go(5 * SEC)
+    assert not core.leaders and left.keeper.widow is None
+
+
 def test_all_killed_at_once_one_of_them_without_its_disk():
     core = Core()
     call = core.config(6)
@@ -517,6 +556,14 @@
         Run(seed, members).play()
 
 
+def test_schedules_of_two():
+    """One disk lost, though the core is too small for it to be promised."""
+    for seed in range(1, 13):
+        run = Run(seed, 2)
+        run.survive = 1
+        run.play()
+
+
 def test_the_same_seed_plays_the_same_run():
     one, two = Run(5), Run(5)
     assert one.play() == two.play() and one.world.log == two.world.log and one.world.steps == two.world.steps
