--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -175,8 +175,9 @@
     def polled(self, servers):
         now, old = self.clock(), self.pilot.servers
         self.counts["lists"] += 1
-        if not self.lookout.leads or old is not None and old.rows == servers.rows:
+        if not self.lookout.leads or old is not None and old.rows == servers.rows and not self.lookout.outrun:
             return
+        self.lookout.outrun = False
         number = max(self.lookout.servers + 1, self.lookout.term * TERM + 1)
         self.serve(replace(servers, number=number))
         self.lookout.spread(now)
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -66,6 +66,8 @@
         self.roster = ()  # rows of the last roster
         self.peers = {}  # by ip: what the leader hears; emptied as they fall silent
         self.asked_at, self.answered_at, self.next_at = 0, 0, 0
+        self.born = None  # when this life first asked
+        self.outrun = False  # somebody holds a list of servers that an older leader numbered above ours
         self.turn = 0
 
     # ---- what is asked
@@ -86,6 +88,7 @@
             self.send(other, hail)
 
     def hail(self, now):
+        self.born = now if self.born is None else self.born
         return {"k": "hail", "n": self.me, "z": self.zone, "f": self.front, "r": self.ready, "i": self.index,
                 "s": self.servers, "o": self.number, "t": now}
 
@@ -113,6 +116,12 @@
                 # Guards the roster against a late hail of a node that has said since that it leaves.
                 peer.name, peer.zone, peer.front, peer.ready = name, zone, front, bool(told["r"])
                 peer.heard, peer.asked, peer.index, peer.servers, peer.roster = now, asked, index, servers, number
+            first = self.term * TERM + 1
+            # Guards against what an old leader numbered when another led already: whoever took it would keep it.
+            self.outrun = self.outrun or self.servers < servers < first
+            if self.number < number < first:
+                self.number = first
+                self.spread(now)
             if not peer.ready:
                 self.look(now)  # who leaves is left out at once; who came waits for the next tick, with others
         self.send(ip, self.word(now, index, servers, number, asked))
@@ -143,7 +152,8 @@
         if self.leads:
             return
         asked, leader, term = whole(told["t"]), text(told["l"]), whole(told["e"])
-        if asked and "a" in told and asked <= now:
+        # Guards against an answer to the life before, which held more than this one: it says nothing of what we lack.
+        if asked and "a" in told and self.born is not None and self.born <= asked <= now:
             at = asked - whole(told["a"])
             if self.word_at is None or at > self.word_at:
                 self.word_at = at
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -808,6 +808,21 @@
     assert q.got("d").status == 503
 
 
+def test_a_list_that_an_old_leader_numbered_higher_is_given_anew(station):
+    """The platform says what it said, yet somebody holds another list under a higher number of an older term."""
+    look = station.lookout
+    word(station, 5, servers=(7, ["s1"]))
+    look.rule(True, station.papers.ip, 2, station.clock(), station.clock())
+    same = station.pilot.servers
+    station.polled(same)
+    assert look.servers == 7
+    station.heard("10.1.0.4", {"k": "hail", "n": "n4", "z": "a1", "f": "", "r": True, "i": 5, "s": 8, "o": 0, "t": station.clock()})
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number > 8
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number == (2 << 20) + 1
+
+
 def test_a_holder_without_tenants_says_nothing(station):
     """A leader that starts again is still named as the holder: as long as it has no configuration it would answer that
     every tenant is idle, and each pilot would let in a whole quota."""
--- a/tests/test_word.py
+++ b/tests/test_word.py
@@ -123,6 +123,11 @@
     look = n[2]
     word = {"k": "word", "l": "10.0.0.1", "e": 1, "t": EPOCH + SEC, "a": 200 * MS}
     look.on_word("10.0.0.1", word, EPOCH + 9 * SEC)
+    assert look.word_at is None  # it has not asked yet: an answer to the life before, which held more
+    look.hail(EPOCH + SEC)
+    look.on_word("10.0.0.1", word | {"t": EPOCH + SEC - MS}, EPOCH + 9 * SEC)
+    assert look.word_at is None
+    look.on_word("10.0.0.1", word, EPOCH + 9 * SEC)
     assert look.word_at == EPOCH + 800 * MS
     look.on_word("10.0.0.1", word | {"t": 0, "a": 0}, EPOCH + 9 * SEC)
     look.on_word("10.0.0.1", word | {"t": EPOCH + 10 * SEC}, EPOCH + 9 * SEC)
@@ -131,6 +136,24 @@
     assert "a" not in look.word(n.now, 0, 0, 0, 0)  # without a state there is nothing that could be young
 
 
+def test_an_old_leader_that_numbers_on():
+    """Deposed and not aware of it, it gives its roster and its list numbers above those that the new one found. What the new one
+    says holds everywhere all the same."""
+    n = Nodes(6)
+    n.lead(1)
+    n.run(3000)
+    n.lead(2, term=2)
+    n[2].number, n[2].roster, n[2].servers = n[1].number, n[1].roster, TERM + 7
+    n.run(10)
+    n[1].number, n[1].roster, n[1].servers = n[1].number + 1, n[1].roster[:3], TERM + 8
+    for k in (1, 5):
+        n[k].number, n[k].roster, n[k].servers = n[1].number, n[1].roster, TERM + 8
+    n[1].rule(False, None, 1, None, n.now)
+    n.run(3000)
+    assert all(n[k].roster == n[2].roster and len(n[k].roster) == 6 for k in range(1, 7))
+    assert n[2].outrun  # the station numbers its next list anew
+
+
 @pytest.mark.parametrize("odd", ({"a": -1}, {"a": "1"}, {"t": -5}, {"t": None}, {"t": True}, {"l": 7}, {"e": -1}, {"e": 1 << 70}, {"e": None}, {"l": "x" * 300},
                                  {"O": [10 ** 9, "x"]}, {"O": [10 ** 9, [["a", "b", "c", "d"]]]}, {"O": [10 ** 9, [[1] * 5]]},
                                  {"O": ["9", []]}, {"O": 5}))
