--- /dev/null
+++ b/tests/test_voyage.py
@@ -0,0 +1,47 @@
+"""The model of the whole: a few seeded runs, the runs that found something, and the model itself."""
+
+import pytest
+
+from rampfront.model.checks import Broken
+from rampfront.model.shrink import as_test, shrink
+from rampfront.model.voyage import Voyage, draw_plan
+from rampfront.pilot.core import Pilot
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_schedules(seed):
+    counts = Voyage(seed, length=4000).play()
+    assert counts["answer 200"] > 100 and counts["done config"]
+
+
+def test_the_same_seed_plays_the_same_run():
+    one, two = Voyage(5, length=1000), Voyage(5, length=1000)
+    assert one.play() == two.play() and one.fleet.steps == two.fleet.steps
+    assert draw_plan(5, 11, 4, 1000) == one.plan
+
+
+PLANS = {
+    # A leader, killed and started again, answered adds before it knew any tenant: all pilots took the quota for unused.
+    17: [(6701, "after_ack", "kill", 5), (6708, "kill_all", 4706, 702), (7014, "surge", "hot", 4374),
+         (8402, "cut_in_two", (0, 1, 4, 5, 6, 7, 8, 10), False, 4084), (8768, "kill", 0, 1454)],
+    # A node that started again took the answer to its former life's question for its own.
+    1129: [(6759, "kill_all", 53106, 890), (7865, "freeze", -1, 3049), (10134, "bad_links", 0.2, 0.5, 300, 2883),
+           (10425, "cut_zone", "a2", 6465), (10724, "config", True), (11170, "kill_all", 14859, 174)],
+}
+
+
+@pytest.mark.parametrize("seed", PLANS)
+def test_plans_that_broke_a_rule(seed):
+    Voyage(seed, plan=PLANS[seed]).play()
+
+
+def test_what_breaks_is_made_small(monkeypatch):
+    """The lease not looked at: a machine cut off from the core lets a key run that was taken away."""
+    monkeypatch.setattr(Pilot, "ready", lambda pilot: True)
+    rows = [(6500, "seeds", (0, 1, 2)), (7000, "cut_one", 10, "both", False, 12000), (7500, "config", False),
+            (8000, "config", False), (8500, "config", False)]
+    init = Pilot.__init__
+    monkeypatch.setattr(Pilot, "__init__", lambda pilot, *args: (init(pilot, *args), setattr(pilot, "fresh", lambda now: True))[0])
+    with pytest.raises(Broken, match="behind its revocation"):
+        Voyage(3, plan=rows, length=12000).play()
+    assert shrink and "cut_one" in as_test(3, 11, rows)
