A hail carries its life, and its answer brings it back

The model's clients also go straight to fronts with keys of old versions, as the operators' probes do.

--- a/rampfront/model/voyage.py
+++ b/rampfront/model/voyage.py
@@ -16,6 +16,7 @@
 
 MS, SEC = 10 ** 6, 10 ** 9
 BEGIN = 6000  # ms: the first blow
+PROBE = 100 * MS  # between requests that go straight to some front
 LOOK = 250 * MS  # between two looks at what must hold all the while
 CALM = 6 * SEC  # within which an order must be acknowledged once all is well
 CATCH_UP = 4 * SEC
@@ -166,6 +167,7 @@
         fleet.at(500 * MS, self.config, False)
         for tenant in self.rates:
             fleet.at(2 * SEC, self.ask_on, tenant)
+        fleet.at(4 * SEC, self.probe)
         fleet.at(0, self.look)
         for at, what, *args in self.plan:
             fleet.at(at * MS, self.befall, what, args)
@@ -326,16 +328,21 @@
         self.ask(tenant)
         self.fleet.at(self.fleet.now + int(self.chance.expovariate(self.rates[tenant]) * SEC), self.ask_on, tenant)
 
-    def ask(self, tenant):
+    def probe(self):
+        """Now and then one goes straight to a front, whatever the directory says, with a key of some version."""
+        self.ask("two", self.chance.choice(self.fleet.machines))
+        self.fleet.at(self.fleet.now + PROBE, self.probe)
+
+    def ask(self, tenant, straight=None):
         fleet, chance = self.fleet, self.chance
         group = chance.choice(self.groups)
         if fleet.now >= group.until and not group.asking:
             self.learn(group, 3)
         some = [a for a in group.addresses if group.failed.get(a, 0) <= fleet.now] or group.addresses
-        if not some:
+        if not some and not straight:
             return
         key, removed, proper, dice = f"{tenant}-key", None, True, chance.random()
-        if tenant == "two" and dice < 0.4 and self.revs:  # a key of a version, perhaps one of long ago
+        if tenant == "two" and (dice < 0.4 or straight) and self.revs:  # a key of a version, perhaps one of long ago
             at = max(0, len(self.revs) - 1 - chance.randrange(5))
             key, proper = f"two-{self.revs[at]}", False
             removed = self.revs[at + 2] if at + 2 < len(self.revs) else None
@@ -346,7 +353,7 @@
         tag = f"t{self.tags}"
         request = fleet.requests[tag] = Request(self, tag, key, tenant, "two" if kind == "two" else "one", kind == "put",
                                                 proper, removed)
-        request.group, request.address = group, chance.choice(some)
+        request.group, request.address = group, f"{straight.ip}:80" if straight else chance.choice(some)
         machine = fleet.by_ip[request.address.partition(":")[0]]
         body = b"x" * 20 if kind == "put" else b""
         data = (b"%s /%s/%s HTTP/1.1\r\nHost: h.example\r\nTry-Id: %s\r\nTime-Left-Ms: 3000\r\nAuthorization: Bearer %s\r\n"
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -66,7 +66,7 @@
         self.roster = ()  # rows of the last roster
         self.peers = {}  # by ip: what the leader hears; emptied as they fall silent
         self.asked_at, self.answered_at, self.next_at = 0, 0, 0
-        self.born = None  # when this life first asked
+        self.life = draw.getrandbits(24)  # goes with each question, and comes back with its answer
         self.outrun = False  # somebody holds a list of servers that an older leader numbered above ours
         self.turn = 0
 
@@ -88,9 +88,8 @@
             self.send(other, hail)
 
     def hail(self, now):
-        self.born = now if self.born is None else self.born
         return {"k": "hail", "n": self.me, "z": self.zone, "f": self.front, "r": self.ready, "i": self.index,
-                "s": self.servers, "o": self.number, "t": now}
+                "s": self.servers, "o": self.number, "t": now, "b": self.life}
 
     def other(self):
         """Seeds and known nodes in turn; None for one that knows nobody."""
@@ -124,7 +123,10 @@
                 self.spread(now)
             if not peer.ready:
                 self.look(now)  # who leaves is left out at once; who came waits for the next tick, with others
-        self.send(ip, self.word(now, index, servers, number, asked))
+        word = self.word(now, index, servers, number, asked)
+        if "b" in told:
+            word["b"] = whole(told["b"])
+        self.send(ip, word)
 
     def word(self, now, index, servers, number, asked):
         """`asked` 0: nobody asked, so it gives no age."""
@@ -153,7 +155,7 @@
             return
         asked, leader, term = whole(told["t"]), text(told["l"]), whole(told["e"])
         # Guards against an answer to the life before, which held more than this one: it says nothing of what we lack.
-        if asked and "a" in told and self.born is not None and self.born <= asked <= now:
+        if asked and "a" in told and asked <= now and told.get("b", self.life) == self.life:
             at = asked - whole(told["a"])
             if self.word_at is None or at > self.word_at:
                 self.word_at = at
--- a/tests/test_word.py
+++ b/tests/test_word.py
@@ -122,11 +122,13 @@
     n = Nodes(3)
     look = n[2]
     word = {"k": "word", "l": "10.0.0.1", "e": 1, "t": EPOCH + SEC, "a": 200 * MS}
-    look.on_word("10.0.0.1", word, EPOCH + 9 * SEC)
-    assert look.word_at is None  # it has not asked yet: an answer to the life before, which held more
-    look.hail(EPOCH + SEC)
-    look.on_word("10.0.0.1", word | {"t": EPOCH + SEC - MS}, EPOCH + 9 * SEC)
-    assert look.word_at is None
+    n[1].index, n[1].word_at = 4, EPOCH
+    answer = []
+    n[1].send = lambda ip, message: answer.append(message)
+    n[1].on_hail("10.0.0.2", look.hail(EPOCH + SEC) | {"b": look.life ^ 1}, EPOCH + SEC)
+    answer[0].pop("S")
+    look.on_word("10.0.0.1", answer[0], EPOCH + 9 * SEC)
+    assert answer[0]["a"] == SEC and look.word_at is None  # an answer to the life before, which held more
     look.on_word("10.0.0.1", word, EPOCH + 9 * SEC)
     assert look.word_at == EPOCH + 800 * MS
     look.on_word("10.0.0.1", word | {"t": 0, "a": 0}, EPOCH + 9 * SEC)
