Quotas: the holder of counts follows from the members' rank, and is left when silent

With the leader as holder, each death of a leader left keyed requests on even parts for 1.5 s. All pilots now rank the core's members by address alone (tide/mooring.py), leave one that is silent for 0.5 s for the next, say so (its part goes with them), and go back once it answers three questions in a row. A pilot brings its even part of each quota to the holder it comes to, so a new holder's buckets no longer begin empty when all can tell what they let in.

--- a/rampfront/model/tides.py
+++ b/rampfront/model/tides.py
@@ -1,8 +1,9 @@
-"""The quotas' shared counts on a fake clock: many pilots, one holder, a network that delays, loses, repeats and cuts.
+"""The quotas' shared counts on a fake clock: many pilots, their holders, a network that delays, loses, repeats and cuts.
 
 `python3 -m rampfront.model.tides` prints the table of `docs/system/quotas.md`. Never imported by a serving process.
 What is measured: the most requests let in within any QuotaWindow, as a part of what the rule allows; the part refused
-while a bucket fed by all that was let in still had room (`wrong`); messages and bytes a second.
+while a bucket fed by all that was let in still had room (`wrong`); messages and bytes a second, of all and of the node
+that sends and gets the most.
 """
 
 from collections import deque
@@ -15,10 +16,13 @@
 
 from ..tide import tide, words
 from ..tide.gauge import Gauge
+from ..tide.mooring import Mooring
 from ..tide.tide import Tide
 
 MS, SEC = words.MS, words.SEC
 HEAD = 28  # bytes of a datagram before its first
+BEAT = 100 * MS  # of a mooring
+GONE, BACK = 3 * SEC, SEC  # all rosters lack a node that ends so long after, and have it again
 
 
 class Bucket:
@@ -63,11 +67,13 @@
 
 
 class Sea:
-    """`nodes` pilots in two regions of two zones; the holder stands on one of them. `cuts`: (from, to, part) s."""
+    """`nodes` pilots in two regions of two zones, some of which may hold the counts. `cuts`: (from, to, part) s; `severs`:
+    the first holder alone is cut from that part; `frozen`: it stands still from, to; `differ`: rosters of a part of the
+    nodes lack it from, to; `dies`, `other_dies`: when it ends, or a node that holds nothing."""
 
     def __init__(self, seed, nodes=11, tenants=((27, 27),), others=7, hot=(6.0, 15.0), x=8.0, end=20.0, loss=0.005,
-                 repeat=0.002, cuts=(), dies=None, moves_after=1.0, skew=0.0, restarts=(), way="tide", load=1 / 1.6,
-                 late=2 * MS, split=None, busy=0.0):
+                 repeat=0.002, cuts=(), severs=(), frozen=None, differ=None, dies=None, other_dies=None, skew=0.0,
+                 restarts=(), way="tide", load=1 / 1.6, late=2 * MS, busy=0.0):
         self.random = random = Random(seed)
         self.nodes, self.loss, self.repeat, self.late, self.way, self.busy = nodes, loss, repeat, late, way, busy
         self.hot, self.x, self.end, self.load = hot, x, end, load
@@ -75,29 +81,63 @@
         self.first = list(self.limits)  # those that get hot
         self.limits |= {f"quiet{i}": SimpleNamespace(per_s=12.0, burst=12.0) for i in range(others)}
         self.tallies = {name: Tally(c.per_s, c.burst) for name, c in self.limits.items()}
-        self.tides = [self.pilot(i, self.clock(i, 0)) for i in range(nodes)]
-        self.split_at = split
         self.home = nodes - 1  # not among those cut off, which are the first
-        self.holder = [self.home] * nodes  # where each pilot takes the holder to be
-        self.gauges = {}
-        self.found(self.home, self.clock(self.home, 0))
-        self.dead, self.cuts, self.dies, self.moves_after = set(), cuts, dies, moves_after
+        self.members = [nodes - 1, nodes - 2, 0, nodes - 3]  # of the core, by rank
+        self.absent = [set() for _ in range(nodes)]  # whom each one's roster lacks
+        self.tides, self.moorings, self.gauges = [None] * nodes, [None] * nodes, {}
+        for i in range(nodes):
+            self.begin(i, 0)
+        self.dead, self.cuts, self.severs, self.frozen = set(), cuts, severs, frozen
+        self.differ, self.ends = differ, ((dies, self.home), (other_dies, 1))
         self.weights = [(i + 1.0) ** -skew for i in range(nodes)]
         random.shuffle(self.weights)
         self.sent = self.bytes = self.far = 0
+        self.load_of = [0] * nodes  # messages sent and got
         self.events, self.order, self.wakes = [], count(), {}
         self.restarts = restarts
 
-    def pilot(self, i, now):
-        fresh = Tide(f"node{i}", Random(self.random.random()), 5 * SEC, now)
-        fresh.proxies(self.nodes)
-        fresh.limits(self.limits, now)
-        return fresh
+    def begin(self, i, now):
+        """A node's start, its pilot and its gauge, if it is one that may hold."""
+        now = self.clock(i, now)
+        self.tides[i] = fresh = Tide(f"node{i}", Random(self.random.random()), 5 * SEC, now)
+        speakers = [fresh]
+        if i in self.members:
+            self.gauges[i] = gauge = Gauge(self.random.randrange(1 << 24), now)
+            speakers.append(gauge)
+        for one in speakers:
+            one.proxies(self.nodes - len(self.absent[i]))
+            one.limits(self.limits, now)
+        self.moorings[i] = Mooring(fresh, lambda member: -self.members.index(member))
+        self.rank(0, i)
+
+    def rank(self, now, i):
+        serving = set(range(self.nodes)) - self.absent[i]
+        self.say(now, i, self.moorings[i].rank(self.clock(i, now), self.members, serving))
+
+    def say(self, now, i, messages):
+        for to, message in messages:
+            self.post(now, i, to, self.added, message)
+
+    def roster(self, now, i, absent):
+        """One node's roster lacks others than before."""
+        if self.absent[i] != absent:
+            self.absent[i] = absent
+            for one in (self.tides[i], self.gauges.get(i)):
+                if one:
+                    one.proxies(self.nodes - len(absent))
+            self.rank(now, i)
+            self.wake(i, now)
+
+    def rosters(self, now, absent, part=1.0):
+        """The news takes up to 0.3 s to all, or to the first `part` of the nodes."""
+        for i in range(int(self.nodes * part)):
+            self.at(now + int(0.3 * self.random.random() * SEC), self.roster, i, absent)
 
-    def found(self, i, now):
-        self.gauges[i] = Gauge(self.random.randrange(1 << 24), now)
-        self.gauges[i].proxies(self.nodes)
-        self.gauges[i].limits(self.limits, now)
+    def beat(self, now, i):
+        if i not in self.dead:
+            self.say(now, i, self.moorings[i].beat(self.clock(i, now)))
+            self.wake(i, now)
+            self.at(now + BEAT, self.beat, i)
 
     def clock(self, i, now):  # steady clocks have nothing in common
         return now + i * 7_777_777_777
@@ -110,6 +150,8 @@
 
     def apart(self, a, b, now):
         t = now / SEC
+        if self.home in (a, b) and any(begin <= t < end and min(a, b) < self.nodes * part for begin, end, part in self.severs):
+            return True
         return any(begin <= t < end and (a < self.nodes * part) != (b < self.nodes * part)
                    for begin, end, part in self.cuts)
 
@@ -120,6 +162,8 @@
         if a != b:
             data = dumps(message)
             self.sent, self.bytes = self.sent + 1, self.bytes + len(data) + HEAD
+            self.load_of[a] += 1
+            self.load_of[b] += 1
             self.far += (len(data) + HEAD) * (a % 2 != b % 2)
             for _ in range(1 + (self.random.random() < self.repeat)):
                 if self.random.random() >= self.loss:
@@ -140,7 +184,7 @@
         self.wakes.pop(i, None)
         if i not in self.dead:
             if message := self.tides[i].due(self.clock(i, now)):
-                self.post(now, i, self.holder[i], self.added, message)
+                self.post(now, i, self.moorings[i].at, self.added, message)
             self.wake(i, now)
 
     def added(self, now, a, b, message):
@@ -151,7 +195,8 @@
             answer = gauge.add(self.clock(b, now), f"node{a}", message)
         except ValueError:
             return
-        self.post(now, b, a, self.answered, answer)
+        if answer:
+            self.post(now, b, a, self.answered, answer)
         self.tell(now, b)
 
     def tell(self, now, b):
@@ -165,36 +210,16 @@
 
     def answered(self, now, a, b, message):
         if b not in self.dead and not self.apart(a, b, now):
-            self.tides[b].told(self.clock(b, now), message)
+            self.say(now, b, self.moorings[b].told(self.clock(b, now), a, message))
             self.wake(b, now)
 
-    def die(self, now):  # the holder's machine ends; after a while all know the next one
-        self.dead.add(self.home)
-        self.found(0, self.clock(0, now))
-        for i in range(self.home):
-            self.at(now + int((self.moves_after + 0.3 * self.random.random()) * SEC), self.move, i, 0)
-        self.at(now + 3 * SEC, self.roster, self.nodes - 1)
-
-    def roster(self, now, serving):
-        for speaker in [*self.tides, *self.gauges.values()]:
-            speaker.proxies(serving)
-
-    def part(self, now):
-        """The core is cut in two: those behind the cut find a holder of their own after a while."""
-        mine = [i for i in range(self.nodes) if self.apart(self.home, i, now)]
-        self.found(mine[0], self.clock(mine[0], now))
-        for i in mine:
-            self.at(now + int((self.moves_after + 0.3 * self.random.random()) * SEC), self.move, i, mine[0])
-
-    def move(self, now, i, to):
-        self.holder[i] = to
-        self.tides[i].moved(self.clock(i, now))
-        self.wake(i, now)
+    def die(self, now, i):
+        """A machine ends."""
+        self.dead.add(i)
+        self.at(now + GONE, self.rosters, {i})
 
     def restart(self, now, i):
-        self.tides[i] = self.pilot(i, self.clock(i, now))
-        if i in self.gauges:
-            self.found(i, self.clock(i, now))
+        self.begin(i, now)
         self.wakes.pop(i, None)
         self.wake(i, now)
 
@@ -207,7 +232,7 @@
             step = self.hot[0] - now / SEC
         self.at(now + int(step * SEC) + 1, self.asked, name)
         i = self.random.choices(range(self.nodes), self.weights)[0]
-        if i in self.dead:
+        if i in self.dead or self.still(now, i):
             return
         if self.way == "tide":
             let = self.tides[i].take(name, self.clock(i, now)) is None
@@ -217,6 +242,9 @@
         phase = "hot" if hot else "usual" if now >= 3 * SEC else "start"
         self.tallies[name].note(now, phase, let)
 
+    def still(self, now, i):
+        return self.frozen and i == self.home and self.frozen[0] <= now / SEC < self.frozen[1]
+
     def bare(self, i, name, now):
         """The baselines: each pilot the whole quota (`none`), an even part (`split`), or one counter (`perfect`)."""
         c = self.limits[name]
@@ -232,16 +260,27 @@
             self.at(int(SEC * 2.5), self.asked, name)
         for i in range(self.nodes if self.way == "tide" else 0):
             self.wake(i, 0)
+            self.at(int(self.random.random() * BEAT), self.beat, i)
         for at, i in self.restarts:
             self.at(int(at * SEC), self.restart, i)
-        if self.dies is not None:
-            self.at(int(self.dies * SEC), self.die)
-        if self.split_at is not None:
-            self.at(int(self.split_at * SEC), self.part)
+        for at, i in self.ends:
+            if at is not None:
+                self.at(int(at * SEC), self.die, i)
+        if self.frozen and (self.frozen[1] - self.frozen[0]) * SEC > GONE:
+            self.at(int(self.frozen[0] * SEC) + GONE, self.rosters, {self.home})
+            self.at(int(self.frozen[1] * SEC) + BACK, self.rosters, set())
+        if self.differ:
+            begin, end, part = self.differ
+            self.at(int(begin * SEC), self.rosters, {self.home}, part)
+            self.at(int(end * SEC), self.rosters, set())
         while self.events:
-            now, _, what, about = heappop(self.events)
+            now, order, what, about = heappop(self.events)
             if now > self.end * SEC:
                 break
+            if self.frozen and about and self.still(now, about[1] if what in (self.added, self.answered) else about[0]):
+                # what comes for a node that stands still waits for it
+                heappush(self.events, (int(self.frozen[1] * SEC), order, what, about))
+                continue
             what(now, *about)
         return self
 
@@ -263,6 +302,7 @@
     return {"worst": worst, "most": hot[0].most, "bound": hot[0].bound, "usual": wrong(hot, "usual"),
             "quiet": wrong(quiet, "usual"), "hot": wrong(hot, "hot"), "served": served(hot, "hot"),
             "asked": served(hot + quiet, "usual"),
+            "busiest": max(sea.load_of) / sea.end,
             "msgs": sea.sent / sea.end, "kb": sea.bytes / sea.end / 1000, "far": sea.far / sea.end / 1000}
 
 
@@ -272,9 +312,15 @@
     "hot": {},
     "hot, uneven": dict(skew=1.0),
     "hot, holder dies": dict(dies=8.0),
+    "holder dies, then hot": dict(dies=5.9),
+    "hot, holder cut from a third": dict(severs=((8.0, 12.0, 1 / 3),)),
+    "hot, holder frozen for 4 s": dict(frozen=(8.0, 12.0)),
+    "hot, holder frozen for 1 s": dict(frozen=(8.0, 9.0)),
+    "hot, rosters differ for 1 s": dict(differ=(8.0, 9.0, 1 / 3)),
+    "hot, another dies": dict(other_dies=8.0),
     "hot, a third cut off": dict(cuts=((8.0, 18.0, 1 / 3),)),
     "cut off, then hot": dict(cuts=((5.9, 16.0, 1 / 3),)),
-    "hot, core in halves": dict(cuts=((8.0, 18.0, 0.5),), split=8.0),
+    "hot, core in halves": dict(cuts=((8.0, 18.0, 0.5),)),
     "hot, 1 in 10 lost": dict(loss=0.1),
     "hot, 50 ms more each way": dict(busy=50.0),
     "hot, all restart": dict(restarts=None),
@@ -303,7 +349,7 @@
                 print(f"{fleet['nodes']:3} {name:30} most {max(r['worst'] for r in got):.3f} of the bound"
                       f" ({max(r['most'] for r in got)}/{got[0]['bound']:.0f})  wrong: usual {mean['usual']:.2%}"
                       f" quiet {mean['quiet']:.2%} hot {mean['hot']:.2%}  served hot {mean['served']:.2f} usual"
-                      f" {mean['asked']:.3f} {mean['msgs']:6.0f} msgs/s {mean['kb']:.1f} kB/s far {mean['far']:.1f}",
+                      f" {mean['asked']:.3f} {mean['msgs']:6.0f} msgs/s, busiest {mean['busiest']:.0f}, {mean['kb']:.1f} kB/s far {mean['far']:.1f}",
                       flush=True)
 
 
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -22,6 +22,7 @@
 from ..pilot.front import Gate
 from ..tide import words
 from ..tide.gauge import Gauge
+from ..tide.mooring import Mooring
 from ..tide.tide import Tide
 from ..watch import platform
 from ..watch.poller import Poller
@@ -54,7 +55,7 @@
         self.tide = Tide(papers.name, self.draw, papers.terms.quota_window, now, papers.terms.quota_excess,
                          papers.terms.quota_slack)
         contract = words.Terms(papers.terms.quota_window, papers.terms.quota_excess, papers.terms.quota_slack)
-        self.gauge, self.holder = Gauge(self.draw.getrandbits(24), now, contract), None
+        self.gauge, self.mooring = Gauge(self.draw.getrandbits(24), now, contract), Mooring(self.tide)
         self.gauge_at = 0  # when the gauge has something to tell unasked; 0: nothing
         self.tide_at = 0  # when the timer that asks the tide is due; 0: there is none
         self.pilot = Pilot(loop, self.clock, papers, bounds, self.draw, self.tide, self.fresh, log)
@@ -88,12 +89,12 @@
             self.lookout.on_word(ip, message, now)
             self.look(now)
         elif kind == "add":
-            self.send(ip, {"k": "sum", "m": self.gauge.add(now, ip, message["m"])})
+            if (answer := self.gauge.add(now, ip, message["m"])) is not None:
+                self.send(ip, {"k": "sum", "m": answer})
             self.overflow()
         elif kind == "sum":
-            if ip == self.holder:
-                self.tide.told(now, message["m"])
-                self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
+            self.say(self.mooring.told(now, ip, message["m"]))
+            self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
         elif kind in ("order", "said"):
             self.orders.heard(ip, message)
         elif self.keeper:
@@ -159,6 +160,8 @@
                 self.arm_tide()
             else:
                 self.log.say("configuration unread", revision=state.rev, why=found.err_value)
+        if old is None or old.members != state.members:
+            self.moor()
         if old is None or old.zones != state.zones:
             self.log.say("zones emptied", zones=sorted(state.zones))
             self.pilot.zoned(state.zones)
@@ -196,6 +199,7 @@
         count = max(1, sum(row[4] for row in self.lookout.roster))
         self.pilot.counted(count)
         self.gauge.proxies(count)
+        self.moor()
 
     # ---- the word, and what hangs on it
 
@@ -209,18 +213,21 @@
             self.lookout.ready = ready
             self.lookout.next_at = 0
             self.log.say("ready" if ready else "not ready")
-        leader = self.lookout.leader
-        if leader != self.holder:
-            self.holder = leader
-            if leader:
-                self.tide.moved(now)
-                self.arm_tide()
 
     # ---- the tide
 
+    def moor(self):
+        members = [ip for ip, _ in self.state.members.values()] if self.state else []
+        self.say(self.mooring.rank(self.clock(), members, {row[1] for row in self.lookout.roster if row[4]}))
+        self.arm_tide()
+
+    def say(self, adds):
+        for ip, message in adds:
+            self.send(ip, {"k": "add", "m": message})
+
     def arm_tide(self):
         due = self.tide.next_at
-        if self.holder and (not self.tide_at or due < self.tide_at):
+        if self.mooring.at and (not self.tide_at or due < self.tide_at):
             self.tide_at = due = max(due, self.clock() + MS)  # never within this turn: it would not end
             if due < FAR:
                 self.timers.at(due, self.flow, due)
@@ -229,10 +236,8 @@
         if due != self.tide_at:
             return  # an earlier one was set since
         self.tide_at = 0
-        if self.holder:
-            message = self.tide.due(self.clock())
-            if message is not None:
-                self.send(self.holder, {"k": "add", "m": message})
+        if self.mooring.at and (message := self.tide.due(self.clock())) is not None:
+            self.say([(self.mooring.at, message)])
         self.arm_tide()
 
     def overflow(self):
@@ -254,6 +259,7 @@
         self.lookout.tick(now)
         self.orders.tick(now)
         self.look(now)
+        self.say(self.mooring.beat(now))
         self.arm_tide()
 
     def sweep(self):
--- a/rampfront/station/views.py
+++ b/rampfront/station/views.py
@@ -73,7 +73,7 @@
             """Counts of the window that runs. A row that nobody asked for since still stands in an older one."""
             return round(getattr(row.now, what)) if row.now.number == (now + tide.shift) // row.quota.window else 0
 
-        return said({"Holder": self.station.holder, "Alone": alone, "Quotas": [
+        return said({"Holder": self.station.mooring.at, "Alone": alone, "Quotas": [
             {"Tenant": row.key, "PerS": row.quota.per_s, "Burst": row.quota.burst, "Left": round(tide.room(row, now), 1),
              "AskedPerS": round(row.asked, 1), "Own": held(row, "own"), "Others": held(row, "held")} for row in rows],
             "Next": then})
--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -30,8 +30,8 @@
         self.name, self.quota, self.number = name, quota, now // quota.window
         self.total = self.past = 0
         self.by, self.by_past = {}, {}
-        # Guards against a holder that comes new in a surge: the quota is taken to be used up, and what the pilots then
-        # tell that they had let in counts toward that first. Harm: none to usual load, which is below the rate.
+        # Guards against a holder that comes new in a surge: the quota is taken to be used up, until pilots bring their
+        # parts of it (`arrive`). Harm: none to usual load, which is below the rate.
         self.blank = quota.depth if blank else 0.0
         self.spare, self.spare_at = quota.depth - self.blank, now
         self.slots = deque(maxlen=SLOTS + 1) if quota.plain else None
@@ -40,10 +40,11 @@
 
 
 class Pilot:
-    __slots__ = ("life", "over", "last", "heard_at", "idle")
+    """`missed_at`: since when its part was not given out here, or will not be, should it say nothing more."""
+    __slots__ = ("life", "over", "last", "heard_at", "idle", "missed_at")
 
     def __init__(self, life, over, now):
-        self.life, self.over, self.last, self.heard_at, self.idle = life, over, 0, now, False
+        self.life, self.over, self.last, self.heard_at, self.idle, self.missed_at = life, over, 0, now, False, -1 << 62
 
 
 class Gauge:
@@ -79,11 +80,15 @@
         self.serving = count
 
     def add(self, now, proxy, message):
-        """Takes in a pilot's adds, once each; returns the answer for it."""
+        """Takes in a pilot's adds, once each; returns the answer for it. None: it only said that it goes."""
         if type(message) is not dict:
             raise ValueError("no message")
+        if "q" in message:  # whether we are there
+            return {"q": whole(message["q"])}
+        if message.get("b"):
+            return self.left(now, proxy, whole(message.get("l")))
         life, number = whole(message.get("l")), whole(message.get("s"), 1)
-        adds, full = rows(message.get("a"), 5), bool(message.get("f"))
+        adds, full = rows(message.get("a"), 5), whole(message.get("f", 0))
         for name, window, grown, before, refused in adds:
             text(name), whole(window, -1, 1 << 62), whole(grown), whole(before), whole(refused)
         pilot = self.pilots.get(text(proxy))
@@ -98,8 +103,11 @@
             for cell in self.cells.values():
                 cell.spare_at = now
         fresh, pilot.heard_at = number > pilot.last, now
+        if fresh and full:
+            self.arrive(pilot, full * MS, now)
         self.survey(now)
         if fresh:
+            pilot.missed_at = now + SILENT
             pilot.last, pilot.idle = number, bool(message.get("z"))
         same, told = message.get("g") == self.life, []
         for name, window, grown, before, refused in adds:
@@ -116,6 +124,30 @@
             self.recall(now, told)
         return answer
 
+    def left(self, now, proxy, life):
+        """A pilot that goes to another holder is missing at once: its even part goes with it. What it told stays."""
+        pilot = self.pilots.get(proxy)
+        if pilot and pilot.life == life:
+            pilot.heard_at, pilot.missed_at, pilot.idle = now - KNOWN, now, False
+            self.looked_at = min(self.looked_at, now - GAP)
+            self.survey(now)
+
+    def arrive(self, pilot, age, now):
+        """A pilot comes from another holder, and tells all that it let in: it brings its even part of each quota, as far
+        as that was not given out here meanwhile. So a new holder that all came to knows what is left, and those that
+        go to and fro bring nothing twice. `age`: ns for which it can tell what it let in; one just started brings nothing."""
+        self.looked_at = min(self.looked_at, now - GAP)
+        self.survey(now)
+        share = 1.0 / max(self.serving, len(self.pilots)) if self.serving else 0.0
+        away = min(age, now - pilot.missed_at)
+        for cell in self.cells.values() if away > 0 else ():
+            self.level(cell, now)
+            part = cell.quota.depth * share * min(1.0, away / cell.quota.window)
+            if cell.slots is None:
+                cell.spare += part
+            else:
+                cell.blank = max(0.0, cell.blank - part)
+
     def count(self, cell, now, pilot, window, grown, before, left):
         """Of an add that crossed the window's end, what grew belongs to the past one. `left`: of a full add, the weight
         that the past window had where it was counted."""
@@ -134,11 +166,7 @@
         cell.total, cell.past = cell.total + grown, cell.past + before
         left = left if full else 1.0 - now % cell.quota.window / cell.quota.window
         self.level(cell, now)
-        used = grown + before * left
-        if full:  # what was taken to be used at our start is now told
-            known = min(cell.blank, used)
-            used, cell.blank = used - known, cell.blank - known
-        cell.spare -= used
+        cell.spare -= grown + before * left
         if cell.slots is not None and grown + before:
             slot = now // (cell.quota.window // SLOTS)
             if cell.slots and cell.slots[-1][0] == slot:
--- a/rampfront/tide/tide.py
+++ b/rampfront/tide/tide.py
@@ -52,7 +52,7 @@
     def __init__(self, me, draw, window_default=5 * SEC, now=0, excess=0.1, slack=20.0):
         """`window_default`, `excess`, `slack`: QuotaWindow (ns), QuotaExcess and QuotaSlack of the rule."""
         self.me, self.draw, self.terms = me, draw, Terms(window_default, excess, slack)
-        self.life, self.number = draw.randrange(1, 1 << 24), 0
+        self.life, self.number, self.born = draw.randrange(1, 1 << 24), 0, now
         self.tenants = {}  # those with a limit; emptied by `limits`
         self.gone = {}  # those that a chart dropped; emptied by the next one, once idle
         self.news = {}  # those asked for since they were last told of; emptied by `send`
@@ -218,7 +218,7 @@
     def plan(self):
         """When `due` is to be asked again: never while nothing is active."""
         if self.out:
-            self.next_at = self.out.sent_at + AGAIN * min(8, 1 << self.out.tries - 1)
+            self.next_at = self.out.sent_at + AGAIN * min(8, 1 << max(0, self.out.tries - 2))
         else:
             self.next_at = min(self.flush_at, self.tick_at)
 
@@ -256,7 +256,7 @@
         if self.gauge is not None:
             message["g"] = self.gauge
         if self.full:
-            message["f"] = 1
+            message["f"] = min(MOST, max(1, (now - self.born) // MS))
         if self.all:
             message["w"] = 1
         if idle:
--- a/rampfront/tide/words.py
+++ b/rampfront/tide/words.py
@@ -1,9 +1,10 @@
 """What pilots and the holder of the counts say to each other, and the figures that both reckon with. No I/O, no clock.
 
 A pilot's message `{l, s, g, a}` holds its life, its number in that life, the gauge's life by whose time it numbers
-windows, and its adds `[name, window's number, grown in it, grown in the one before, refused]`; `f` all of its own
-counts rather than what grew, and in the place of the refused the weight that the past window has left, in hundredths;
-`w` everything in use asked for, `z` gone idle.
+windows, and its adds `[name, window's number, grown in it, grown in the one before, refused]`; `f`, the ms that it has
+lived, all of its own counts rather than what grew, and in the place of the refused the weight that the past window has
+left, in hundredths; `w` everything in use asked for, `z` gone idle. `{q}` asks a node whether it is there, and is the
+answer too; `{l, b}` says that the pilot goes to another holder (`mooring.py`).
 
 An answer `{g, s, h, t}` holds the gauge's life, the last number taken in from this pilot, the gauge's time (ms) and
 rows `[name, window's number, total in it, total in the one before, spare, pilots that added, asked a second]`; `w`
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -366,7 +366,7 @@
     own = SimpleNamespace(name="n1", ip="127.0.0.1", zone="z1", zones=ZONES, control=("127.0.0.1", 1))
     station = SimpleNamespace(
         pilot=pilot, lookout=look, papers=own, keeper=None, ending=False, lease=SEC, clock=lambda: 5 * SEC,
-        fresh=lambda now: False, counts=dict.fromkeys(COUNTS, 0), holder=None,
+        fresh=lambda now: False, counts=dict.fromkeys(COUNTS, 0), mooring=SimpleNamespace(at=None),
         state=State(3, 1, 2, b"", frozenset(("z1",)), {"n1": ("127.0.0.1", 4)}))
     calls = collect([Views(station)])["/api/rpc"]
 
--- a/tests/test_tide.py
+++ b/tests/test_tide.py
@@ -9,6 +9,7 @@
 
 from rampfront.model.tides import LARGE, SMALL, Bucket, figures, scene
 from rampfront.tide.gauge import GAP, Gauge
+from rampfront.tide.mooring import DEAF, HOP, SLEPT, SUREST, Mooring
 from rampfront.tide.tide import NEVER, PATIENCE, REST, STALE, Tide
 from rampfront.tide.words import MS, SEC, SILENT, Terms, limit
 
@@ -135,6 +136,156 @@
         assert bay.gauge.cells["acme"].spare <= 10 - 8 + 2  # and it does not let a second burst in
 
 
+class Harbours:
+    """Pilots with moorings, and a gauge on each of the members; those in `deaf` hear nothing, those in `mute` answer
+    questions alone. One way 10 ms."""
+
+    def __init__(self, *names, members=("m1", "m2", "m3"), acme=(10, 10), age=20.0):
+        self.now, chart = T0, plan(acme=acme)
+        self.gauges = {ip: Gauge(n, T0) for n, ip in enumerate(members)}
+        self.tides = {name: Tide(name, Random(name), 5 * SEC, T0) for name in names}
+        self.moorings = {name: Mooring(tide, lambda ip: -members.index(ip)) for name, tide in self.tides.items()}
+        self.deaf, self.mute, self.post, self.moves, self.sent = set(), set(), [], 0, 0
+        for one in (*self.gauges.values(), *self.tides.values()):
+            one.limits(chart, T0), one.proxies(len(names))
+        for name in names:
+            self.rank(name, set(members))
+        self.run(age)
+
+    def rank(self, name, serving):
+        self.send(name, self.moorings[name].rank(self.now, list(self.gauges), serving))
+
+    def send(self, name, messages):
+        self.sent += len(messages)
+        self.moves += sum("b" in m for _, m in messages)
+        self.post += [(self.now + 10 * MS, name, ip, m) for ip, m in messages]
+
+    def run(self, seconds, each=lambda now: None):
+        until = self.now + int(seconds * SEC)
+        while self.now < until:
+            self.now += 10 * MS
+            each(self.now)
+            for name, tide in self.tides.items():
+                if self.now % (100 * MS) == 0:
+                    self.send(name, self.moorings[name].beat(self.now))
+                if message := tide.due(self.now):
+                    self.send(name, [(self.moorings[name].at, message)])
+            due, self.post = [p for p in self.post if p[0] <= self.now], [p for p in self.post if p[0] > self.now]
+            for _, name, ip, message in due:
+                if ip not in self.deaf and not ("q" not in message and ip in self.mute):
+                    if answer := self.gauges[ip].add(self.now, name, message):
+                        self.send(name, self.moorings[name].told(self.now, ip, answer))
+
+    def at(self):
+        return [mooring.at for mooring in self.moorings.values()]
+
+
+def test_all_rank_the_members_alike_and_those_that_do_not_serve_last():
+    ips = [f"127.0.0.{n}" for n in range(2, 8)]
+    first, other = (Mooring(Tide("a", Random(n), now=T0)) for n in (1, 2))
+    first.rank(T0, ips, set(ips)), other.rank(T0, reversed(ips), set(ips))
+    assert first.order == other.order and first.at == first.order[0] and sorted(first.order) == ips
+    other.rank(T0, ips, set(ips) - {first.at})
+    assert other.order == (*first.order[1:], first.at) and other.at == first.order[1]
+    assert Mooring(Tide("b", Random(3), now=T0)).rank(T0, [], set()) == ()
+
+
+def test_a_silent_holder_is_left_for_the_next_which_is_told_all_and_gone_back_to_once_it_answers():
+    sea = Harbours("a", "b", "c")
+    assert sea.at() == ["m1"] * 3
+    sea.deaf.add("m1")
+    let = sum(tide.take("acme", sea.now) is None for tide in sea.tides.values() for _ in range(2))
+    begun = sea.now
+    sea.run((60 * MS + HOP + 200 * MS) / SEC)
+    cell = sea.gauges["m2"].cells["acme"]
+    assert sea.at() == ["m2"] * 3 and cell.total + cell.past == let == 6
+    sea.run(1.0)
+    assert not any(tide.alone(sea.now) for tide in sea.tides.values()) and sea.moves == 3
+    assert sea.gauges["m2"].missing == 0
+    sea.deaf.clear()
+    sea.run(2.0, lambda now: [tide.take("acme", now) for tide in sea.tides.values() if now % (500 * MS) == 0])
+    assert sea.at() == ["m1"] * 3 and sea.moves == 6 and sea.now - begun < 5 * SEC
+    assert sea.gauges["m2"].missing == 1 and sea.gauges["m1"].missing == 0  # each shares out by whom it hears, at once
+
+
+def test_a_holder_that_answers_questions_alone_is_tried_less_and_less():
+    sea = Harbours("a", members=("m1", "m2"))
+    sea.mute.add("m1")
+    sea.run(60, lambda now: now % (200 * MS) or sea.tides["a"].take("acme", now))
+    assert 2 < sea.moves < 25 and sea.moorings["a"].need == SUREST
+
+
+def test_answers_that_come_late_bring_nobody_back():
+    """A holder that stood still answers all that it was asked meanwhile at once."""
+    sea = Harbours("a", members=("m1", "m2"))
+    mooring, ip = sea.moorings["a"], "m2"
+    mooring.go(sea.now, ip)
+    for late in (300 * MS,) * 6 + (20 * MS,) * 3:
+        assert mooring.at == ip
+        sea.now += SEC
+        (asked, question), = mooring.beat(sea.now)
+        mooring.told(sea.now + late, asked, question)
+    assert mooring.at == "m1"
+
+
+def test_a_pilot_that_nobody_answers_asks_ever_more_seldom():
+    sea = Harbours("a")
+    sea.deaf.update(sea.gauges)
+    sea.run(5, lambda now: now % (200 * MS) or sea.tides["a"].take("acme", now))
+    early, sea.sent = sea.sent, 0
+    sea.run(20)
+    assert sea.sent < 3 * early and sea.moves < 3 + 3 + 20 // 2 + 1
+
+
+def test_a_pilot_that_stood_still_itself_keeps_its_holder():
+    sea = Harbours("a")
+    sea.tides["a"].take("acme", sea.now)
+    while not sea.tides["a"].out:
+        sea.run(0.01)
+    sea.now += SLEPT + DEAF  # its answer waits
+    assert sea.moorings["a"].beat(sea.now) == ()
+    sea.run(0.1)
+    assert sea.at() == ["m1"] and not sea.tides["a"].alone(sea.now)
+
+
+def test_a_pilot_brings_its_part_of_a_quota_once():
+    """To a holder that others came to, as far as that did not give it out meanwhile; one that just started brings none."""
+    sea = Harbours("a", "b", "c", "d", acme=(40, 40))
+    for name in "abcd":
+        sea.rank(name, {"m2", "m3"})
+    sea.run(0.2)
+    cell = sea.gauges["m2"].cells["acme"]
+    assert sea.at() == ["m2"] * 4 and cell.spare > 39  # not empty: all told that they let in nothing
+    for tide in sea.tides.values():
+        while tide.take("acme", sea.now) is None:
+            pass
+    sea.run(0.1)
+    low = sea.gauges["m2"].level(cell, sea.now)
+    assert low < 5
+    for _ in range(4):  # to and fro
+        for serving in ({"m1"}, {"m2"}):
+            sea.rank("a", serving)
+            sea.run(0.05)
+    assert sea.gauges["m2"].level(cell, sea.now) < low + 40 * 0.4 + 1
+    young = Harbours("a", "b", acme=(40, 40), age=0.1)
+    young.rank("a", {"m2"}), young.rank("b", {"m2"})
+    young.run(0.1)
+    assert young.gauges["m2"].cells["acme"].spare < 40 * 0.35
+
+
+def test_who_said_that_it_goes_is_missing_at_once_and_its_late_adds_count_once():
+    bay = Bay("a", "b", serving=2)
+    a, b = bay.tides
+    bay.take(a, 4)
+    bay.now += 60 * MS
+    late, _ = bay.carry(a)
+    bay.gauge.add(bay.now, "a", {"l": a.life + 1, "b": 1})  # of another life: nothing
+    assert bay.gauge.missing == 0
+    assert bay.gauge.add(bay.now, "a", {"l": a.life, "b": 1}) is None and bay.gauge.missing == 0.5
+    bay.gauge.add(bay.now, "a", late)
+    assert bay.total() == 4
+
+
 def test_a_holder_that_forgot_is_known_by_its_life():
     bay = Bay("a")
     a, = bay.tides
@@ -381,12 +532,12 @@
 
 
 junk = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
-                    lambda inner: st.lists(inner, max_size=8) | st.dictionaries(st.sampled_from("lsgahtfwzp"), inner),
+                    lambda inner: st.lists(inner, max_size=8) | st.dictionaries(st.sampled_from("lsgahtfwzpqb"), inner),
                     max_leaves=12)
 
 
 @settings(max_examples=200, deadline=None)
-@given(junk, st.sampled_from(["l", "s", "g", "a", "h", "t"]))
+@given(junk, st.sampled_from(["l", "s", "g", "a", "h", "t", "f", "q", "b"]))
 def test_nothing_ill_formed_comes_past_the_door(value, key):
     bay = Bay("a")
     good = {"l": 5, "s": 9, "g": 7, "h": 1, "a": [["acme", 1, 1, 0, 0]], "t": [["acme", 1, 1, 0, 0, 1, 0]]}
@@ -440,6 +591,12 @@
         for tide in self.bay.tides:
             tide.moved(self.bay.now)
 
+    @rule(i=st.integers(0, 1))
+    def return_to_it(self, i):
+        tide = self.bay.tides[i]
+        self.bay.gauge.add(self.bay.now, tide.me, {"l": tide.life, "b": 1})
+        tide.moved(self.bay.now)
+
     @rule()
     def forget(self):  # the holder starts again, and nobody says so
         self.bay.gauge = self.bay.holder(self.bay.gauge.life + 1)
@@ -471,11 +628,12 @@
     assert none["worst"] > 2  # without sharing
 
 
-@pytest.mark.parametrize("name", ["hot, holder dies", "hot, a third cut off", "cut off, then hot",
+@pytest.mark.parametrize("name", ["hot, holder dies", "hot, holder cut from a third", "hot, holder frozen for 4 s",
+                                  "hot, rosters differ for 1 s", "hot, a third cut off", "cut off, then hot",
                                   "hot, core in halves", "hot, 1 in 10 lost", "hot, all restart"])
 def test_the_rule_holds_in_trouble(name):
     got = scene(name, SMALL, 5)
-    assert got["worst"] < 0.97 and got["served"] > 0.9
+    assert got["worst"] < 0.95 and got["served"] > 0.95
 
 
 def test_usual_load_is_not_refused():
