Quotas without Burst: a surge leaves what those just cut off may let in, and new holders are strict

What comes faster than the rate now waits for a second where it is a third's share beyond 0.6 of the slack; a holder to which nobody can tell what was let in gives out nothing of such a quota for one QuotaWindow. The model measures quotas without Burst against a true sliding count.

--- a/rampfront/model/tides.py
+++ b/rampfront/model/tides.py
@@ -2,7 +2,7 @@
 
 `python3 -m rampfront.model.tides` prints the table of `docs/system/quotas.md`. Never imported by a serving process.
 What is measured: the most requests let in within any QuotaWindow, as a part of what the rule allows; the part refused
-while a bucket fed by all that was let in still had room (`wrong`); messages and bytes a second, of all and of the node
+while a quota fed by all that was let in still had room (`wrong`); messages and bytes a second, of all and of the node
 that sends and gets the most.
 """
 
@@ -33,20 +33,39 @@
         self.level, self.at = min(self.burst, self.level + self.per_s * (now - self.at) / SEC), now
         return self.level
 
+    def spend(self, now):
+        self.level -= 1
+
     def take(self, now):
         if self.room(now) < 1:
             return False
-        self.level -= 1
+        self.spend(now)
         return True
 
 
+class Span(Bucket):
+    """A quota without burst: so many in any QuotaWindow."""
+
+    def __init__(self, most, window):
+        self.most, self.window, self.times = most, window, deque()
+
+    def room(self, now):
+        while self.times and self.times[0] <= now - self.window:
+            self.times.popleft()
+        return self.most - len(self.times)
+
+    def spend(self, now):
+        self.times.append(now)
+
+
 class Tally:
     """What became of one tenant's requests."""
 
     def __init__(self, per_s, burst, terms=words.Terms()):
         self.per_s, self.burst, self.terms = per_s, burst, terms
         self.bound = (per_s * terms.window / SEC + burst) * (1 + terms.excess) + terms.slack
-        self.truth, self.perfect = Bucket(per_s, burst), Bucket(per_s, burst)
+        self.truth, self.perfect = (Bucket(per_s, burst) if burst else Span(per_s * terms.window / SEC, terms.window)
+                                    for _ in range(2))
         self.recent, self.most = deque(), 0
         self.phases = {}
 
@@ -57,7 +76,7 @@
         room = self.truth.room(now)
         if admitted:
             row.let += 1
-            self.truth.level -= 1
+            self.truth.spend(now)
             self.recent.append(now)
             while self.recent[0] <= now - self.terms.window:
                 self.recent.popleft()
--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -18,6 +18,7 @@
 SHY, LEAN = 0.4, 0.25  # told unasked below so much of the bucket, less so much of the rule's slack
 SPREAD = 0.4  # part of the rule's slack that those in touch may use while few others are missing; none for half of them
 SOON = SEC // 4  # how fast the count of what is asked a second fades
+THIRD, MORE, CALM = 1 / 3, 0.6, 1.5  # see `held_back`
 SLOTS = 20  # of a QuotaWindow, where a tenant without burst is counted by the last so many
 
 
@@ -192,16 +193,26 @@
     def level(self, cell, now):
         """What the quota has left: a bucket's level. Without burst: the limit less the last QuotaWindow's count."""
         quota, part = cell.quota, self.part(cell.quota)
-        gain = quota.per_s * (now - cell.spare_at) / SEC
-        cell.blank = max(0.0, cell.blank - gain)
         if cell.slots is None:
+            gain = quota.per_s * (now - cell.spare_at) / SEC
             cell.spare = min(quota.depth * part, cell.spare + gain * part)
         else:
             first = now // (quota.window // SLOTS) - SLOTS
-            cell.spare = quota.limit * part - sum(n for slot, n in cell.slots if slot >= first) - cell.blank
+            if cell.blank and self.born is not None and now - self.born >= quota.window:
+                cell.blank = 0.0
+            used = sum(n for slot, n in cell.slots if slot >= first)
+            cell.spare = quota.limit * part - used - cell.blank - self.held_back(cell, now)
         cell.spare_at = now
         return cell.spare
 
+    def held_back(self, cell, now):
+        """Guards against a surge without a burst that lets in the whole QuotaWindow's quota on one side within the second
+        in which those cut off are not yet missed: of what comes faster than the rate, what a THIRD of the pilots may let
+        in meanwhile waits for a second, beyond MORE of the slack. Usual load does not notice."""
+        quota, first = cell.quota, (now - SILENT) // (cell.quota.window // SLOTS)
+        fast = sum(n for slot, n in cell.slots if slot >= first) - CALM * quota.per_s * SILENT / SEC
+        return max(0.0, min(fast, THIRD * quota.limit - MORE * quota.slack))
+
     def part(self, quota):
         """The part of a quota that those in touch may use: less the even parts of those missing, which may go on."""
         if not self.missing:
--- a/tests/test_tide.py
+++ b/tests/test_tide.py
@@ -531,6 +531,41 @@
     assert max(sum(t - 5 * SEC < at <= t for at in times) for t in times) <= 8 * 5 * 1.1 + 20
 
 
+def test_without_burst_a_surge_leaves_what_those_just_cut_off_may_let_in_until_they_are_missed():
+    bay = Bay("a", acme=(27, 0))
+    a, = bay.tides
+
+    def surge(seconds):
+        let, until = 0, bay.now + int(seconds * SEC)
+        while bay.now < until:
+            bay.now += 20 * MS
+            let += bay.take(a, 6)
+            bay.carry(a)
+        return let
+    bay.settle(6)
+    quota = limit(27, 0, Terms())
+    first = surge(0.9)
+    assert first <= quota.limit + quota.grace - (quota.limit / 3 - 0.6 * quota.slack) + 6
+    assert quota.limit - 6 <= first + surge(1.5) <= quota.limit + quota.grace + 1
+
+
+def test_without_burst_a_holder_that_can_be_told_nothing_lets_in_nothing_for_a_window():
+    """All started again in a surge; who was there before tells what it let in, and is believed."""
+    bay = Bay("a", acme=(27, 0), now=T0)
+    bay.settle(6)
+    for age, least, most in ((10.0, 50, 141), (0.0, 0, 15)):
+        bay.gauge = bay.holder(8)
+        bay.gauge.proxies(1)
+        a = bay.pilot("a", 1) if not age else bay.tides[0]
+        a.moved(bay.now)
+        let = 0
+        for _ in range(100):
+            bay.now += 20 * MS
+            let += bay.take(a, 6)
+            bay.carry(a)
+        assert least <= let <= most
+
+
 junk = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
                     lambda inner: st.lists(inner, max_size=8) | st.dictionaries(st.sampled_from("lsgahtfwzpqb"), inner),
                     max_leaves=12)
