--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -17,6 +17,7 @@
 GAP = 100 * MS  # between two unasked tellings
 SHY, LEAN = 0.4, 0.25  # told unasked below so much of the bucket, less so much of the rule's slack
 SPREAD = 0.4  # part of the rule's slack that those in touch may use while few others are missing; none for half of them
+BROUGHT = 0.9  # of its part that a pilot brings: who it left may have given some of it out until it was missed there
 SOON = SEC // 4  # how fast the count of what is asked a second fades
 THIRD, MORE, CALM = 1 / 3, 0.6, 1.5  # see `held_back`
 SLOTS = 20  # of a QuotaWindow, where a tenant without burst is counted by the last so many
@@ -139,7 +140,7 @@
         go to and fro bring nothing twice. `age`: ns for which it can tell what it let in; one just started brings nothing."""
         self.looked_at = min(self.looked_at, now - GAP)
         self.survey(now)
-        share = 1.0 / max(self.serving, len(self.pilots)) if self.serving else 0.0
+        share = BROUGHT / max(self.serving, len(self.pilots)) if self.serving else 0.0
         away = min(age, now - pilot.missed_at)
         for cell in self.cells.values() if away > 0 else ():
             self.level(cell, now)
@@ -147,7 +148,7 @@
             if cell.slots is None:
                 cell.spare += part
             else:
-                cell.blank = max(0.0, cell.blank - part)
+                cell.blank = max(0.0, cell.blank - part / BROUGHT)
 
     def count(self, cell, now, pilot, window, grown, before, left):
         """Of an add that crossed the window's end, what grew belongs to the past one. `left`: of a full add, the weight
