Metrics for a scraper at the control address: counters, gauges, four histograms of fixed buckets

GET /metrics, text exposition format 0.0.4, written from its public description. Histograms: a request at the pilot, a server's answer, counts told and answered, age of the word. Nothing carries a tenant or server, nothing is sent unasked.

--- a/rampfront/net/upstream.py
+++ b/rampfront/net/upstream.py
@@ -279,7 +279,8 @@
         if self.timer:
             pool.timers.call_off(self.timer)
         now = pool.clock()
-        took, (body, units, use) = now - self.sent_at, self.outcome(how)
+        took = now - self.sent_at
+        body, units, use = self.outcome(how, took)
         self.exchange = self.timer = None
         self.body = None  # an idle connection holds nothing of its last answer
         if keep and self.target.up:
@@ -293,8 +294,8 @@
         else:
             pool.probe_over(self, how, took, body)
 
-    def outcome(self, how):
-        """What an answer that ended so holds: its body, the units it drew, its account's use."""
+    def outcome(self, how, took):
+        """What an answer that ended so, `took` ns behind its request, holds: its body, the units it drew, its account's use."""
         done = how == t.DONE
         return b"".join(self.body) if done else None, self.units if done else 0, \
             self.use if done or how == t.ERROR else None
--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -12,6 +12,7 @@
 from ..choice import Line
 from ..net.core import Exchange, Unfit
 from ..net.desk import Desk
+from ..net.spans import Spans
 from . import roads
 from .haul import HOP, Harbour
 
@@ -45,7 +46,7 @@
                          pilot.log)
         self.desk.core = pilot
         self.desk.upstream = self.harbour = Harbour(pilot.loop, self.desk, pilot.bounds, health, pilot.log, self.loaded,
-                                                           self.gone)
+                                                           self.gone, pilot.answers)
         self.desk.begin()
         self.desk.node.spare = min(1.0, self.desk.node.spare)  # a start has earned next to no further tries yet
         self.listed = {}  # id to what was told of it last
@@ -85,6 +86,7 @@
         self.tide, self.fresh, self.counts = tide, fresh, log.counts
         self.chart, self.servers, self.emptied = None, None, frozenset()
         self.cold_zones = {}  # zones taken back lately: until when their servers are held to be cold
+        self.requests, self.answers = Spans(), Spans()  # requests here, and servers' answers
         self.piers = {}  # by service, of all charts so far: a service that comes back finds its own
         self.nodes = 1
         self.took = lambda: None  # behind each request that the tide was asked of: it may have something to tell
@@ -258,7 +260,8 @@
             else:
                 client.own(502, b"it may have run")
 
-    @staticmethod
-    def over(passage):
+    def over(self, passage):
         client, passage.client = passage.client, None
+        if client:
+            self.requests.note(self.clock() - passage.came)
         return client
--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -107,11 +107,12 @@
             self.until = FAR
         super().finish(how, keep)
 
-    def outcome(self, how):
+    def outcome(self, how, took):
         if self.exchange and how not in UNRUN:
             self.exchange.risky = True
         if how not in (t.DONE, t.ERROR) or self.exchange is None:
             return None, 0, None
+        self.pool.answers.note(took)
         answer = Answer(self.parser.get_status_code(), self.fields, b"".join(self.body))
         self.fields = None
         if how == t.ERROR and answer.status not in PROMISES:
@@ -121,12 +122,12 @@
 
 class Harbour(Upstream):
     """The pool of one service. `loads(index, running, waiting, slots)` is told what answers say of their server,
-    `gone(uid)` that another has its address."""
+    `gone(uid)` that another has its address; `answers` (`Spans`) how long each took."""
     kind = Haul
 
-    def __init__(self, loop, desk, bounds, health, log, loads, gone):
+    def __init__(self, loop, desk, bounds, health, log, loads, gone, answers):
         super().__init__(loop, desk, bounds, False, log)
-        self.loads, self.gone = loads, gone
+        self.loads, self.gone, self.answers = loads, gone, answers
         self.rest_most = bounds.link_idle  # how long a connection may have rested to carry what may run only once
         self.probe_text = b"GET %s HTTP/1.1\r\nHost: health\r\n\r\n" % health
 
--- a/rampfront/station/doors.py
+++ b/rampfront/station/doors.py
@@ -9,6 +9,7 @@
 from ..chart import chart as charts
 from ..lighthouse import terms as lt
 from ..net.calls import Answer, Calls, call, said, trouble
+from .metrics import Metrics
 from .views import Views
 
 MS, SEC = 10 ** 6, 10 ** 9
@@ -103,7 +104,7 @@
     """Opens what the settings name; returns the listeners. Handlers of one address share it."""
     papers, at = station.papers, {}
     for place, handler in ((papers.ready, Ready), (papers.directory, Directory), (papers.control, Control),
-                           (papers.control, Views)):
+                           (papers.control, Views), (papers.control, Metrics)):
         if place:
             at.setdefault(place, []).append(handler(station))
     made = []
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -18,6 +18,7 @@
 from ..lighthouse.logbook import Logbook
 from ..lighthouse.state import from_plain
 from ..net.desk import Clock, Timers
+from ..net.spans import Spans
 from ..pilot.core import Pilot
 from ..pilot.front import Gate
 from ..tide import words
@@ -63,6 +64,7 @@
         self.state = None
         self.keeper, self.disk, self.logbook = None, None, None
         self.orders = Orders(self)
+        self.add_trips, self.word_ages = Spans(), Spans()  # round trips of counts, ages of the word
         if papers.folder:
             self.disk = ThreadPoolExecutor(1)  # a disk that hangs holds up nobody but the keeper
             self.logbook = Logbook(papers.folder)
@@ -92,7 +94,10 @@
             self.overflow()
         elif kind == "sum":
             if ip == self.holder:
+                out = self.tide.out
                 self.tide.told(now, message["m"])
+                if out and self.tide.out is not out:
+                    self.add_trips.note(now - out.first_at)
                 self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
         elif kind in ("order", "said"):
             self.orders.heard(ip, message)
@@ -254,6 +259,8 @@
         self.lookout.tick(now)
         self.orders.tick(now)
         self.look(now)
+        if self.lookout.word_at is not None:
+            self.word_ages.note(max(0, now - self.lookout.word_at))
         self.arm_tide()
 
     def sweep(self):
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -24,6 +25,8 @@
 from rampfront.lighthouse.state import State
 from rampfront.net.ask import Reply, Trouble
 from rampfront.net.calls import collect
+from rampfront.net.spans import Spans
+from rampfront.station import metrics
 from rampfront.station.views import COUNTS, PAGE, Views
 from rampfront.watch.platform import Row, Servers
 
@@ -486,6 +489,43 @@
     assert ask("servers.read").status == 503
 
 
+LINE = re.compile(r'(rampfront_[a-z_]+)(?:\{le="([0-9.]+|\+Inf)"\})? (-?[0-9]+(?:\.[0-9]+)?)')
+
+
+def scraped(text):
+    """{name or (name, edge): value} of a page in the format of scrapers, every line of it checked."""
+    kinds, found = {}, {}
+    assert text.endswith("\n")
+    for line in text.splitlines():
+        if line.startswith("# "):
+            _, what, name, rest = line.split(" ", 3)
+            assert what in ("TYPE", "HELP") and (what == "HELP" or kinds.setdefault(name, rest) == rest)
+            continue
+        name, edge, value = LINE.fullmatch(line).groups()
+        family = re.sub("_(bucket|sum|count)$", "", name)
+        kind = "histogram" if family != name else "counter" if name.endswith("_total") else "gauge"
+        assert kinds[family] == kind and bool(edge) == name.endswith("_bucket")
+        assert (name, edge) not in found
+        found[(name, edge) if edge else name] = float(value)
+    return found
+
+
+def test_a_scraper_gets_counters_and_whole_histograms_of_a_fixed_number_of_lines():
+    spans = [Spans() for _ in metrics.SPANS]
+    for ns in (0, MS, MS + 1, 60 * SEC):
+        spans[0].note(ns)
+    page = metrics.text({"taken": 4}, [("ready", True), ("lease_seconds", 4.4)], spans)
+    told = scraped(page)
+    assert (told["rampfront_taken_total"], told["rampfront_ready"], told["rampfront_lease_seconds"]) == (4, 1, 4.4)
+    name = "rampfront_request_seconds"
+    assert [told[name + "_bucket", edge] for edge in ("0.001", "0.0025", "10", "+Inf")] == [2, 3, 3, 4]
+    assert told[name + "_count"] == 4 and told[name + "_sum"] == 60.002000001
+    for _ in range(1000):
+        spans[1].note(7 * MS)
+    assert len(metrics.text({"taken": 10 ** 9}, [("ready", True), ("lease_seconds", 4.4)], spans).splitlines()) == len(
+        page.splitlines())
+
+
 # ---- the whole, once: slow by what it starts
 
 @pytest.mark.slow
@@ -516,6 +556,12 @@
         state = json.loads(run("status", "--json"))
         assert state["Leader"] and len(state["Members"]) >= 1 and len(state["Nodes"]) == 4
         assert len(json.loads(run("servers", "--json"))["Servers"]) == 8
+        with urllib.request.urlopen(f"http://{told['Nodes'][3]['Control']}/metrics", timeout=30) as page:
+            assert page.headers["Content-Type"] == "text/plain; version=0.0.4; charset=utf-8"
+            found = scraped(page.read().decode())
+        assert found["rampfront_request_seconds_count"] == found["rampfront_server_answer_seconds_count"] == 1
+        assert found["rampfront_ready"] == found["rampfront_in_touch"] == 1 and found["rampfront_servers_listed"] == 8
+        assert found["rampfront_word_age_seconds_count"] > 0 and found["rampfront_adds_round_trip_seconds_count"] > 0
         assert json.loads(run("quotas", "--json"))["Quotas"][0]["Tenant"] == "acme"
         new = tmp_path / "r2.json"
         new.write_text(json.dumps(conf("r2")))
