--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -18,9 +18,9 @@
 from ..lighthouse.logbook import Logbook
 from ..lighthouse.state import from_plain
 from ..net.desk import Clock, Timers
-from ..net.spans import Spans
 from ..pilot.core import Pilot
 from ..pilot.front import Gate
+from ..net.spans import Spans
 from ..tide import words
 from ..tide.gauge import Gauge
 from ..tide.tide import Tide
@@ -76,6 +76,8 @@
                 log.say("disk unread", why=repr(trouble))
         self.poller = Poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL) if papers.platform else None
         self.polling, self.ending = False, False
+        if self.poller:
+            self.poller.on_drop = self.unpolled
 
     # ---- between nodes
 
@@ -185,6 +187,10 @@
         self.serve(replace(servers, number=number))
         self.lookout.spread(now)
 
+    def unpolled(self, why):
+        self.counts["lists_failed"] += 1
+        self.log.note("platform", "list", why=why)
+
     def serve(self, servers):
         self.lookout.servers = servers.number
         self.pilot.listed(servers)
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -2,11 +2,12 @@
 
 import json
 import zlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
-from quay import SEC, Quay, Quota, Silent, orders, rule, settings
+from quay import MS, SEC, Quay, Quota, Silent, orders, rule, settings
 from rampfront.chart import chart as charts, papers as papers_of
 from rampfront.lighthouse.state import State, digest
 from rampfront.watch import platform
@@ -769,6 +770,22 @@
     station.heard(LEADER, message)
 
 
+def test_what_operators_count_on_is_counted(station):
+    """Rounds of the platform's list that bring none; ages of the word, of ten looks a second; requests and answers."""
+    q = station.loop
+    made = type(station)(q, replace(station.papers, platform=("10.9.9.9", 80)), Silent(), 3)
+    made.poller.on_drop("status 429")
+    assert made.counts["lists_failed"] == 1 and not sum(made.word_ages.counts)
+    word(station, 1, servers=(1, ["s1"]))
+    q.wait(1000)
+    assert sum(station.word_ages.counts) in (10, 11) and station.word_ages.counts[-1] == 0
+    q.ask()
+    q.wait(30)
+    q.reply()
+    assert station.pilot.requests.counts[5] == station.pilot.answers.counts[5] == 1  # 25 to 50 ms
+    assert sum(station.pilot.requests.counts) == 1 and 30 * MS <= station.pilot.answers.total <= station.pilot.requests.total
+
+
 def test_the_lease(station):
     """Without a word for as long as `RevokeWithin` allows, less what is on its way by then: 503 here, not ready, and no key
     acts; with the next word it goes on."""
