--- a/rampfront/bridge/explain.py
+++ b/rampfront/bridge/explain.py
@@ -56,6 +56,7 @@
                  "ColdMs": row["ColdMs"]}
                 for row in servers if row["Service"] == name for why in [barred(row, zones)]]
         told["Services"].append({"Service": name, "Share": round(weight / total, 4), "Servers": rows,
+                                 "Spare": state.get("Spare", {}).get(name),  # not told by an older version
                                  "May": sum(row["MayGet"] for row in rows)})
     bare_ones = [one["Service"] for one in told["Services"] if not one["May"]]
     if len(bare_ones) == len(told["Services"]):
@@ -72,6 +73,9 @@
         most = max(told["Services"], key=lambda one: one["Share"])
         told["Why"] = (f"goes to one of {sum(one['May'] for one in told['Services'])} servers"
                        + (f", mostly of {most['Service']}" if len(told["Services"]) > 1 else ""))
+        may = [row for one in told["Services"] for row in one["Servers"] if row["MayGet"]]
+        if all(row["ColdMs"] for row in may):
+            told["Why"] += ", all of them cold: what goes beyond their services' ColdPerS gets 503, come back"
         if bare_ones:
             told["Why"] += f"; 503 where its share falls to {', '.join(bare_ones)}, of which no server may get it"
     return told
@@ -129,6 +133,9 @@
         lines.append(f"zones    {', '.join(told['Zones']) or 'none that all home regions allow'}")
         for one in told["Services"]:
             lines.append(f"service  {one['Service']} ({one['Share']:.0%}): {one['May']} of {len(one['Servers'])} servers")
+            if one["Spare"] is not None and route["Tries"] > 1:
+                lines.append(f"  budget: {one['Spare']:g} further tries saved up at {told['Node']}"
+                             + ("" if one["Spare"] >= 1 else "; none is made until first tries have earned one"))
             for row in one["Servers"]:
                 cold = f", cold for {spell(row['ColdMs'])}" if row["ColdMs"] else ""
                 lines.append(f"  {row['Id']} {row['Address']} in {row['Zone']}: {row['Why'] or 'may get it'}{cold}")
--- a/rampfront/station/views.py
+++ b/rampfront/station/views.py
@@ -6,6 +6,7 @@
 """
 
 from ..net.calls import call, said, trouble
+from ..pilot import roads
 
 MS = 10 ** 6
 PAGE = 500  # rows of an answer
@@ -20,6 +21,15 @@
     return rows[:PAGE], key(rows[PAGE - 1]) if len(rows) > PAGE else None
 
 
+def cold(pilot, row, now):
+    """ns for which this pilot holds the server to be cold yet: as the list tells, or as its zone was lately taken back."""
+    service = pilot.chart.services.get(row.service) if pilot.chart else None
+    if service is None:
+        return max(0, row.cold_until - now)
+    born = roads.born(row, service, pilot.cold_zones.get(row.zone), now)
+    return born + service.warmup - now if born else 0
+
+
 class Views:
     def __init__(self, station):
         self.station = station
@@ -38,7 +48,9 @@
             "Emptied": sorted(state.zones) if state else [], "Zones": papers.zones,
             "WordAgeMs": None if look.word_at is None else max(0, now - look.word_at) // MS,
             "LeaseMs": station.lease // MS, "Fresh": station.fresh(now),
-            "Servers": look.servers, "Roster": look.number, "Counts": {name: station.counts[name] for name in COUNTS}})
+            "Servers": look.servers, "Roster": look.number,
+            "Spare": {name: round(pier.desk.node.spare, 1) for name, pier in station.pilot.piers.items()},  # tries saved up
+            "Counts": {name: station.counts[name] for name in COUNTS}})
 
     @call("POST", "/api/rpc", call="nodes.read")
     def nodes(self, asked):
@@ -58,7 +70,7 @@
         links = {target.uid: target.links for pier in pilot.piers.values() for target in pier.harbour.targets.values()}
         return said({"Servers": [
             {"Id": r.id, "Service": r.service, "Address": f"{r.host}:{r.port}", "Zone": r.zone, "Capacity": r.capacity,
-             "State": r.state, "Emptied": r.zone in pilot.emptied, "ColdMs": max(0, r.cold_until - now) // MS,
+             "State": r.state, "Emptied": r.zone in pilot.emptied, "ColdMs": cold(pilot, r, now) // MS,
              "Links": links.get(r.id, 0)} for r in rows],
             "ChangedMs": max(0, now - pilot.servers.read_at) // MS, "Next": then})
 
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -40,7 +40,7 @@
     return {"Node": name, "Ip": ip, "Zone": "z1", "Ready": True, "Ending": False, "Disk": True, "Leads": name == "n1",
             "Leader": "127.0.0.1", "Term": 1, "Index": 5, "Revision": "r1", "Members": [["n1", "127.0.0.1"]],
             "Emptied": [], "Zones": ZONES, "WordAgeMs": 100, "LeaseMs": 4400, "Fresh": True, "Servers": 1, "Roster": 1,
-            "Counts": dict.fromkeys(COUNTS, 0), **other}
+            "Spare": {"reads": 0.4}, "Counts": dict.fromkeys(COUNTS, 0), **other}
 
 
 def node(name, ip, control):
@@ -387,15 +387,20 @@
     ("shop.example/read/1", slipway.KEY, {"homes": ["north"], "emptied": True}, 503, "its zone is emptied"),
     ("shop.example/read/1", slipway.KEY, {"homes": ["south"]}, None, "outside the home regions"),
     ("shop.example/read/1", slipway.KEY, {"fresh": False}, 503, "out of touch"),
+    ("shop.example/read/1", slipway.KEY, {"cold": 900}, None, "goes to one of 2 servers, all of them cold"),
 ])
 def test_explain_goes_the_way_of_a_request(quay, url, key, change, status, says):
     data = conf()
     data["Sockets"][0]["Rulebook"][0]["ThenDo"]["HomeRegions"] = change.get("homes", [])
+    cold = {"ColdMs": change.get("cold", 0)}
     quay.put(A, config_read=(200, data), state_read=(200, state(Fresh=change.get("fresh", True))),
-             servers_read=(200, {"Servers": [server("i-1", Emptied=change.get("emptied", False)), server("i-2", zone="z2"),
+             servers_read=(200, {"Servers": [server("i-1", Emptied=change.get("emptied", False), **cold),
+                                             server("i-2", zone="z2", **cold),
                                              server("i-3", State="emptying")], "ChangedMs": 1}),
              quotas_read=(200, {"Quotas": [quota(change.get("left", 12.0))], "Holder": "n1", "Alone": False}))
     assert says in quay.run("explain", url, "--key", key)
+    assert ("budget: 0.4 further tries saved up at n1; none is made" in quay.run("explain", url, "--key", key)) == (
+        "/read/" in url or "nothing" in url)  # of `reads`; no such service, and none told, elsewhere
     assert json.loads(quay.run("explain", url, "--key", key, "--json"))["Status"] == status
     assert key not in quay.run("explain", url, "--key", key) or not key
 
@@ -460,8 +465,10 @@
 def test_views_answer_from_snapshots_and_in_pages():
     rows = tuple(Row(f"i-{k:04}", "s", "10.0.0.1", 80, "z1", 2, "ready", 7 * SEC if k == 0 else 0) for k in range(PAGE + 1))
     link = SimpleNamespace(uid="i-0000", links=3)
-    pilot = SimpleNamespace(servers=Servers(1, rows, 3 * SEC), emptied=frozenset(("z1",)),
-                            piers={"s": SimpleNamespace(harbour=SimpleNamespace(targets={0: link}))})
+    pilot = SimpleNamespace(servers=Servers(1, rows, 3 * SEC), emptied=frozenset(("z1",)), chart=None,
+                            cold_zones={"z1": 4 * SEC},
+                            piers={"s": SimpleNamespace(harbour=SimpleNamespace(targets={0: link}),
+                                                       desk=SimpleNamespace(node=SimpleNamespace(spare=2.25)))})
     look = SimpleNamespace(ready=True, leads=False, leader="127.0.0.1", word_at=None, servers=1, number=2,
                            roster=(("n1", "127.0.0.1", "z1", "127.0.0.1:80", True),))
     own = SimpleNamespace(name="n1", ip="127.0.0.1", zone="z1", zones=ZONES, control=("127.0.0.1", 1))
@@ -482,9 +489,12 @@
     assert [row["Id"] for row in rest["Servers"]] == [f"i-{PAGE:04}"] and rest["Next"] is None
     assert json.loads(ask("servers.read", of="other").body)["Servers"] == []
     told = json.loads(ask("state.read").body)
+    assert told["Spare"] == {"s": 2.2}
     assert (told["Revision"], told["WordAgeMs"], told["Members"], told["Emptied"]) == ("r2", None, [["n1", "127.0.0.1"]],
                                                                                      ["z1"])
     assert json.loads(ask("nodes.read").body)["Nodes"] == [node("n1", "127.0.0.1", A)]
+    pilot.chart = SimpleNamespace(services={"s": SimpleNamespace(warmup=3 * SEC)})  # its zone was taken back a second ago
+    assert json.loads(ask("servers.read", after=first["Next"]).body)["Servers"][0]["ColdMs"] == 2000
     pilot.servers = None
     assert ask("servers.read").status == 503
 
