The house: the edge node has its own folder, the circle of cli and __main__ goes, tables are checked once

Now edge/ holds what the edge node alone runs, joined in edge/node.py, which both command lines start; tables.py types and checks those tables for both forms (unknown keys of the JSON form are passed over as before; its bounds are now those of the TOML form); __main__.py only chooses. tests/test_house.py reads the imports off the sources: no circle, none upwards, no program in the other's folders, every folder on the page.

--- a/rampfront/__main__.py
+++ b/rampfront/__main__.py
@@ -1,158 +1,21 @@
-"""`python -m rampfront`: one edge node on sockets. It starts the parts, minds signals and ends; no more.
+"""`python -m rampfront`: one edge node, with words the command line (`cli.py`), with `system` the operators' bridge.
 
-SIGTERM: serves on for a while, then takes nothing new, finishes what it took and exits 0. SIGHUP reads the
-configuration again, of which the addresses of discovery and the counter are taken over. SIGUSR1 prints the
-counters. A faulty configuration is named on standard error, with exit status 2.
+Each is imported only when it is asked for: their libraries are not the same.
 """
 
-import gc
-import random
-import signal
 import sys
 
-if __name__ == "__main__" and sys.argv[1:2] == ["system"]:  # the operators' bridge, without the edge node's libraries
-    from .bridge.__main__ import run
-    sys.exit(run(sys.argv[2:], "python -m rampfront system"))
-
-import uvloop
-
-from .net.admin import Admin
-from .net.core import Core
-from .net.counter import Counter
-from .net.desk import Clock, Desk
-from .net.discovery import Discovery
-from .net.front import Front
-from .net.launch import Faulty, load
-from .net.log import Log
-from .net.upstream import Upstream
-
-
-def start(loop, clock, launch, log, again=load):
-    """Makes the parts, joins them and listens; returns the desk. `again` reads the configuration anew."""
-    bounds, terms = launch.bounds, launch.terms
-    desk = Desk(loop, clock, terms, launch.seed, (bounds.ride, bounds.ride_part), log)
-    rev, _, rows = launch.known
-    upstream = desk.upstream = Upstream(loop, desk, bounds, launch.reports, log)
-    core = desk.core = Core(desk, bounds, launch.names, terms, log)
-    front = core.front = Front(loop, core, bounds, log)
-    fronts = core.fronts = [front]
-    draw = random.Random(launch.seed ^ 1).uniform
-    watch = Discovery(loop, desk, launch.discovery, rev, launch.names.zones, bounds, draw, log)
-    parts = [front, upstream, watch, log]
-    if launch.counter:
-        desk.counter = Counter(loop, desk, launch.counter, terms.counter_wait, bounds, log)
-        desk.counter.connect()
-        parts.append(desk.counter)
-    if launch.storm:
-        from .storm import Storm
-        core.storm = Storm(draw=draw, counts=log.counts, **launch.storm)
-    if launch.journal:
-        from .journal.keeper import Keeper
-        from .journal.store import Store
-        told = dict(launch.journal)
-        batch = told.pop("batch")
-        try:
-            store = Store(name=launch.name, **told)
-        except OSError as trouble:
-            raise Faulty("journal.dir", "a folder that this process alone may write to", str(trouble)) from None
-        desk.journal = Keeper(loop, desk.timers, clock, log, store, launch.names, batch)
-        desk.journal.send, desk.journal.refuse = desk.release, desk.refuse
-    if launch.syslog:
-        from .syslog.recorder import Recorder
-        from .syslog.sink import Sink
-        told = dict(launch.syslog)
-        settled = told.pop("settled")
-        sink = Sink(loop, desk.timers, clock, log, name=launch.name, draw=draw, **told).start()
-        desk.record = Recorder(sink, launch.names, settled)
-    if launch.mqtt:
-        from .mqtt.front import Front as Mqtt
-        from .mqtt.topics import Routes
-        fronts.append(Mqtt(loop, core, bounds, log, launch.name, Routes(launch.mqtt["routes"]), launch.mqtt))
-        parts.append(fronts[-1])
-    desk.begin()
-    desk.listed(True, rows)
-    watch.start()
-    if launch.mqtt:  # first: `/-/ready` must not say yes while one of the fronts is not there
-        loop.run_until_complete(fronts[-1].listen(*launch.mqtt["address"]))
-    loop.run_until_complete(front.listen(*launch.listen, launch.inherited))
-    if launch.admin:
-        admin = Admin(loop, desk, front, bounds, launch.names, log)
-        loop.run_until_complete(admin.listen(*launch.admin))
-        parts.append(admin)
-
-    def sweep():
-        desk.timers.after(bounds.sweep, sweep)  # first, so that a defect below does not end it
-        for part in parts:
-            part.sweep()
-
-    def ending():
-        log.say("ending")
-        desk.timers.after(bounds.serve_on, core.retire, loop.stop)
-        desk.timers.after(bounds.drain_most, loop.stop)
-
-    def reread():
-        """Guards the txns under way against a faulty file: it is named, and what stands goes on."""
-        try:
-            new = again()
-        except Faulty as trouble:
-            return log.say("configuration kept", why=str(trouble))
-        log.say("configuration read", discovery=new.discovery, counter=new.counter)
-        watch.move(new.discovery)
-        if desk.counter and new.counter:
-            desk.counter.move(new.counter)
-
-    sweep()
-    loop.add_signal_handler(signal.SIGHUP, reread)
-    loop.add_signal_handler(signal.SIGTERM, ending)
-    loop.add_signal_handler(signal.SIGINT, ending)
-    loop.add_signal_handler(signal.SIGUSR1, log.totals, "asked")
-    return desk
-
 
 def main():
-    if sys.argv[1:2] == ["system"]:  # of the installed command
+    if sys.argv[1:2] == ["system"]:
         from .bridge.__main__ import run
-        return run(sys.argv[2:], "rampfront system")
+        return run(sys.argv[2:], "python -m rampfront system" if __name__ == "__main__" else "rampfront system")
     if len(sys.argv) > 1:
-        from .cli import main as words  # not for the edge node itself: it starts without arguments' libraries
+        from .cli import main as words
         return words()
+    from .edge.node import serve
     return serve()
 
 
-def serve():
-    """Runs one edge node to its end; returns the exit status."""
-    try:
-        launch = load()
-    except Faulty as trouble:
-        print(f"rampfront: {trouble}", file=sys.stderr)
-        return 2
-    log = Log(launch.name, launch.bounds.quiet, levels=launch.levels)
-    loop = uvloop.new_event_loop()
-
-    def fault(loop, about):
-        log.counts["faults"] += 1
-        log.note("fault", about.get("message", ""), trouble=repr(about.get("exception")))
-
-    loop.set_exception_handler(fault)
-    try:
-        desk = start(loop, Clock(), launch, log)
-    except Faulty as trouble:
-        print(f"rampfront: {trouble}", file=sys.stderr)
-        return 2
-    except OSError as trouble:
-        print("rampfront: cannot listen:", trouble, file=sys.stderr)
-        return 1
-    log.say("serving", listen=launch.listen, app_servers=len(launch.known[2]))
-    gc.freeze()  # what stands now stays; nothing that is made for a txn holds itself in a ring
-    gc.set_threshold(20000, 20, 100)
-    loop.run_forever()
-    if desk.record:
-        desk.record.sink.close()
-    if desk.journal:
-        desk.journal.close()
-    log.totals("exit")
-    return 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -62,7 +62,7 @@
     """
     import os
 
-    from .__main__ import serve as run
+    from .edge.node import serve as run
     if config is None:
         fail("serve: --config, or RELAY_CONFIG, should name the configuration", WRONG)
     os.environ["RELAY_CONFIG"] = str(config)
@@ -76,7 +76,7 @@
     import os
 
     from .config import reference as page
-    from .net.launch import Faulty, load
+    from .edge.launch import Faulty, load
     if reference:
         typer.echo(page(), nl=False)
     elif file is None:
--- a/rampfront/config.py
+++ b/rampfront/config.py
@@ -1,6 +1,6 @@
 """The TOML configuration of an edge node, in our own words: typed, checked, and turned into the platform's JSON form.
 
-`load_toml(path)` returns that form, which `net/launch.py` reads like any other; `BadConfig` names the line, the key
+`load_toml(path)` returns that form, which `edge/launch.py` reads like any other; `BadConfig` names the line, the key
 path and the reason. Unknown keys are errors. `reference()` writes docs/configuration.md from the same types, so the
 page cannot say otherwise. Times are ms, as the names say.
 """
@@ -11,17 +11,12 @@
 from typing import Annotated, Literal, get_args, get_origin, get_type_hints
 
 import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
 
-from .mqtt.codec import Malformed, topic_filter
+from . import tables
+from .tables import (Count, Count0, JournalTable, Least0, MqttTable, MqttTopic, Part, Place, Positive, Share, StormTable,
+                     Syslog, Text, placed)
 
-Least0 = Annotated[float, Meta(ge=0)]
-Positive = Annotated[float, Meta(gt=0)]
-Share = Annotated[float, Meta(gt=0, le=1)]
-Count = Annotated[int, Meta(ge=1)]
-Count0 = Annotated[int, Meta(ge=0)]
-Text = Annotated[str, Meta(min_length=1)]
-Place = Annotated[str, Meta(pattern=r"^[^\s:]+:[1-9][0-9]{0,4}$")]
 Level = Literal["debug", "info", "warning", "error"]
 
 
@@ -29,19 +24,9 @@
     """The configuration file does not hold what it should; the text names line, key and reason."""
 
 
-class Part(Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
-    pass
-
-
 EFFECTS = {"inquiry": "pure", "referenced": "token", "once_only": "side_effect"}  # the platform's words
 
 
-def placed(trouble):
-    """A msgspec error as (key path, reason); the path is empty where it names none."""
-    reason, _, path = str(trouble).rpartition(" - at `$")
-    return (path.rstrip("`").lstrip("."), reason) if reason else ("", str(trouble))
-
-
 class Product(Part, kw_only=True):
     """A product: what its txns may do."""
     name: Annotated[Text, Meta(description="as clients name it in X-Class")]
@@ -118,58 +103,6 @@
         default_factory=dict)
 
 
-class Syslog(Part, kw_only=True):
-    """Decisions as RFC 5424 messages to a collector. Without this table nothing is sent."""
-    collector: Annotated[Place, Meta(description="host:port")]
-    transport: Annotated[Literal["tcp", "udp"], Meta(description="TCP with octet counting, or one datagram a message")] = "tcp"
-    memory: Annotated[int, Meta(ge=64, description="messages that wait in memory at most")] = 16384
-    spill_dir: Annotated[str, Meta(description="folder for what waits beyond; empty: none")] = ""
-    spill_mb: Annotated[Positive, Meta(description="and its size at most")] = 64.0
-    settled: Annotated[bool, Meta(description="also a message for each settled txn")] = False
-    enterprise: Annotated[Count, Meta(description="private enterprise number in the SD-ID")] = 32473
-
-
-class StormTable(Part, kw_only=True):
-    """Retry and reconnect storms. Without this table nothing is damped."""
-    retry_share: Annotated[Least0, Meta(description="retries let in for each first try, in a storm")] = 0.2
-    retries_per_s: Annotated[Least0, Meta(description="and a second, whatever comes")] = 10.0
-    window_ms: Annotated[Positive, Meta(description="for how long a try that did not settle is known")] = 30000.0
-    accepts_per_s: Annotated[Positive, Meta(description="new connections a second; past it told to come back")] = 500.0
-    longest_retry_after_ms: Annotated[Positive, Meta(description="of the advice in a storm")] = 5000.0
-    values: Annotated[dict[str, Positive], Meta(description="worth of products: dearer ones keep more of the budget")] = field(
-        default_factory=dict)
-
-
-class JournalTable(Part, kw_only=True):
-    """A durable journal of once-only txns: recorded before they leave. Without this table there is none."""
-    dir: Annotated[Text, Meta(description="its folder, on a disk that outlives the process; one process writes it")]
-    batch_ms: Annotated[Least0, Meta(description="a record waits so long for others to be made durable with it")] = 2.0
-    segment_mb: Annotated[Positive, Meta(description="size of a file")] = 16.0
-    most_mb: Annotated[Positive, Meta(description="of all files; twice segment_mb or more")] = 256.0
-    keep_s: Annotated[Positive, Meta(description="age at which a file goes")] = 86400.0
-
-
-class MqttTopic(Part, kw_only=True):
-    """Which txn a PUBLISH under a topic is. The first row that matches is taken."""
-    filter: Annotated[Text, Meta(description="topic filter, with + and # as MQTT has them")]
-    product: Annotated[Text, Meta(description="the product of its txns")]
-    path: Annotated[str, Meta(pattern="^/[!-~]*$", description="asked of the box; {1}, {2}... are the levels under the wildcards")]
-    units: Annotated[Positive, Meta(description="that a txn takes")] = 1.0
-
-
-class MqttTable(Part, kw_only=True):
-    """MQTT 3.1.1 and 5.0 clients. Without this table there is no such front."""
-    listen: Annotated[Place, Meta(description="host:port for MQTT clients")]
-    topics: Annotated[list[MqttTopic], Meta(min_length=1)]
-    plan: Annotated[str, Meta(description="of users that name none; empty: they must")] = ""
-    answers: Annotated[str, Meta(pattern="^[^+#]+$", description="first levels of the topics under which answers are told")] = "answers"
-    connections: Annotated[Count, Meta(description="at most; their descriptors are taken from limits.sockets")] = 256
-    sessions: Annotated[Count, Meta(description="at most, with those whose client is away")] = 1024
-    inflight: Annotated[int, Meta(ge=1, le=65535, description="txns of one client that wait for their answer; it is read no faster")] = 64
-    expiry_ms: Annotated[float, Meta(gt=0, le=600000, description="of a PUBLISH that tells none")] = 10000.0
-    session_expiry_s: Annotated[Least0, Meta(description="longest life of a session whose client is away")] = 3600.0
-
-
 class Config(Part, kw_only=True):
     """One edge node."""
     name: Annotated[Text, Meta(description="of this node, the same after a restart")]
@@ -219,23 +152,11 @@
     for module in config.log.modules:
         if module not in MODULES:
             raise BadConfig(f"log.modules.{module}: no such module; there are {', '.join(MODULES)}")
-    for name in config.storm.values if config.storm else ():
-        if name not in [product.name for product in config.products]:
-            raise BadConfig(f"storm.values.{name}: no such product")
-    for k, topic in enumerate(config.mqtt.topics if config.mqtt else ()):
-        if topic.product not in [product.name for product in config.products]:
-            raise BadConfig(f"mqtt.topics[{k}].product: no such product")
-        try:
-            topic_filter(topic.filter)
-        except Malformed as trouble:
-            raise BadConfig(f"mqtt.topics[{k}].filter: {trouble}") from None
-        wild = len([level for level in topic.filter.split("/") if level in ("+", "#")])
-        if any(not 0 < int(number) <= wild for number in re.findall(r"{(\d+)}", topic.path)):
-            raise BadConfig(f"mqtt.topics[{k}].path: a level that the filter does not have")
-    if config.journal and config.journal.most_mb < 2 * config.journal.segment_mb:
-        raise BadConfig("journal.most_mb: should be twice segment_mb or more")
-    if config.mqtt and config.mqtt.plan and config.mqtt.plan not in [plan.name for plan in config.plans]:
-        raise BadConfig("mqtt.plan: no such plan")
+    try:
+        tables.check({name: getattr(config, name) for name in tables.KINDS}, [product.name for product in config.products],
+                     [plan.name for plan in config.plans])
+    except tables.Odd as odd:
+        raise BadConfig(str(odd)) from None
     for k, box in enumerate(config.boxes):
         if box.zone and box.zone not in config.fleet.zones:
             raise BadConfig(f"boxes[{k}].zone: {box.zone!r} is not among fleet.zones")
@@ -275,14 +196,9 @@
         form["counter"] = c.counter
     if c.admin:
         form["admin_addr"] = c.admin
-    if c.storm:
-        form["storm"] = msgspec.to_builtins(c.storm)
-    if c.journal:
-        form["journal"] = msgspec.to_builtins(c.journal)
-    if c.mqtt:
-        form["mqtt"] = msgspec.to_builtins(c.mqtt)
-    if c.syslog:
-        form["syslog"] = msgspec.to_builtins(c.syslog)
+    for name in tables.KINDS:
+        if getattr(c, name):
+            form[name] = msgspec.to_builtins(getattr(c, name))
     return form
 
 
@@ -382,13 +298,13 @@
              "the line, the key and the reason. Unknown keys are errors. SIGHUP reads it again: the addresses of discovery and the",
              "counter are taken over, a faulty file changes nothing and is named in the log. The platform's JSON form is read",
              "as before (`RELAY_CONFIG` naming a file that does not end in `.toml`), and its environment variables keep their meaning.", ""]
-    tables = ((Config, "top of the file"), (Product, "`[[products]]`"), (Plan, "`[[plans]]`"), (Fleet, "`[fleet]`"),
-              (Txns, "`[txns]`"), (Quotas, "`[quotas]`"), (Limits, "`[limits]`"), (Logging, "`[log]`"),
-              (Syslog, "`[syslog]`"), (StormTable, "`[storm]`"),
-              (MqttTable, "`[mqtt]`"), (MqttTopic, "`[[mqtt.topics]]`"),
-              (JournalTable, "`[journal]`"), (Box, "`[[boxes]]`"))
+    parts = ((Config, "top of the file"), (Product, "`[[products]]`"), (Plan, "`[[plans]]`"), (Fleet, "`[fleet]`"),
+             (Txns, "`[txns]`"), (Quotas, "`[quotas]`"), (Limits, "`[limits]`"), (Logging, "`[log]`"),
+             (Syslog, "`[syslog]`"), (StormTable, "`[storm]`"),
+             (MqttTable, "`[mqtt]`"), (MqttTopic, "`[[mqtt.topics]]`"),
+             (JournalTable, "`[journal]`"), (Box, "`[[boxes]]`"))
     nested = {"products", "plans", "fleet", "txns", "quotas", "limits", "log", "syslog", "storm", "mqtt", "journal", "boxes"}
-    for struct, title in tables:
+    for struct, title in parts:
         lines += [f"## {title}", "", (struct.__doc__ or "").strip(), "", "| key | holds | default | meaning |",
                   "| --- | --- | --- | --- |"]
         lines += [f"| `{name}` | {word} | {default} | {about} |" for name, word, default, about in rows_of(struct)
--- a/rampfront/net/admin.py
+++ b/rampfront/edge/admin.py
@@ -7,7 +7,7 @@
 import orjson
 
 from .. import terms as t
-from .calls import Answer, CallBounds, Calls, call
+from ..net.calls import Answer, CallBounds, Calls, call
 
 
 def text(status, body):
--- a/rampfront/net/launch.py
+++ b/rampfront/edge/launch.py
@@ -5,19 +5,18 @@
 """
 
 import os
-import re
 import resource
 import secrets
 
 import orjson
 
 from ..announced import Names, Odd, ns, read_terms
+from ..net import bounds
 from ..terms import slotted
-from . import bounds
 from .discovery import address, read_list
 from .log import LEVELS
 
-PATH = re.compile(r"/[!-~]*")
+OPTIONS = ("syslog", "storm", "mqtt", "journal")  # tables that only some nodes have
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 SETTINGS = {"Keepalive": 30000.0, "ConnectTimeout": 250.0}
 # What must stand in the settings: where, its kind, and how that is said. `[]` is each row of a list.
@@ -102,12 +101,11 @@
         walk(check(row, OBJECT, where), rest, kind, needed, where)
 
 
-def place(config, key, within=""):
-    value = check(config.get(key), TEXT, within + key)
+def place(value, key):
     try:
-        return address(value)
+        return address(check(value, TEXT, key))
     except ValueError:
-        raise Faulty(within + key, "host:port", value) from None
+        raise Faulty(key, "host:port", value) from None
 
 
 def descriptor(environ):
@@ -128,96 +126,59 @@
     return {"": told.get("level", "info"), **modules}
 
 
-def storm(told, classes):
-    """What the storm's decisions are started with; None: off."""
-    if told is None:
-        return None
-    check(told, OBJECT, "storm")
-    for key in ("retry_share", "retries_per_s", "window_ms", "accepts_per_s", "longest_retry_after_ms"):
-        if key in told:
-            check(told[key], NUMBER, f"storm.{key}")
-    values = check(told.get("values", {}), OBJECT, "storm.values")
-    for name, value in values.items():
-        if name not in [row["Name"] for row in classes] or not KINDS[NUMBER](value) or value == 0:
-            raise Faulty(f"storm.values.{name}", "a number above 0 for a product that there is", value)
-    return {"values": [float(values.get(row["Name"], 1.0)) for row in classes],
-            "slas": [ns(row["OnTime"]) for row in classes],
-            "share": float(told.get("retry_share", 0.2)), "least": float(told.get("retries_per_s", 10)),
-            "window": ns(told.get("window_ms", 30000)), "accepts": float(told.get("accepts_per_s", 500)),
-            "longest": ns(told.get("longest_retry_after_ms", 5000))}
-
-
-def syslog(told):
-    """Where decisions are sent; what is left out gets its default."""
-    if told is None:
-        return None
-    check(told, OBJECT, "syslog")
-    for key, kind in (("memory", COUNT), ("spill_mb", NUMBER), ("enterprise", COUNT), ("settled", FLAG)):
-        if key in told:
-            check(told[key], kind, f"syslog.{key}")
-    if told.get("transport", "tcp") not in ("tcp", "udp"):
-        raise Faulty("syslog.transport", "tcp or udp", told["transport"])
-    if not isinstance(told.get("spill_dir", ""), str):
-        raise Faulty("syslog.spill_dir", "a folder's path", told["spill_dir"])
+def tabled(config, names):
+    """Name to table of what only some nodes have (`tables.KINDS`); None: off."""
+    if all(config.get(name) is None for name in OPTIONS):
+        return dict.fromkeys(OPTIONS)
+    from .. import tables  # its library is for those who use it
     try:
-        where = address(check(told.get("collector"), TEXT, "syslog.collector"))
-    except ValueError:
-        raise Faulty("syslog.collector", "host:port", told["collector"]) from None
-    return {"address": where, "udp": told.get("transport") == "udp", "memory": told.get("memory", 16384),
-            "spill": told.get("spill_dir") or None, "spill_most": int(told.get("spill_mb", 64) * 1e6),
-            "enterprise": told.get("enterprise", 32473), "settled": told.get("settled", False)}
+        return tables.read(config, names.products, names.plans)
+    except tables.Odd as odd:
+        raise Faulty.worded(str(odd)) from None
+
 
+def storm(table, classes):
+    """What the storm's decisions are started with; None: off."""
+    return table and {
+        "values": [float(table.values.get(row["Name"], 1.0)) for row in classes],
+        "slas": [ns(row["OnTime"]) for row in classes], "share": table.retry_share, "least": table.retries_per_s, "window": ns(table.window_ms),
+        "accepts": table.accepts_per_s, "longest": ns(table.longest_retry_after_ms)}
+
+
+def syslog(table):
+    """Where decisions are sent."""
+    return table and {
+        "address": place(table.collector, "syslog.collector"), "udp": table.transport == "udp", "memory": table.memory,
+        "spill": table.spill_dir or None, "spill_most": int(table.spill_mb * 1e6), "enterprise": table.enterprise,
+        "settled": table.settled}
 
-def journal(told):
+
+def journal(table):
     """What the journal is started with; None: off."""
-    if told is None:
-        return None
-    check(told, OBJECT, "journal")
-    told = {"batch_ms": 2.0, "segment_mb": 16.0, "most_mb": 256.0, "keep_s": 86400.0, **told}
-    for key in ("batch_ms", "segment_mb", "most_mb", "keep_s"):
-        check(told[key], NUMBER, f"journal.{key}")
-    if told["most_mb"] < 2 * told["segment_mb"]:
-        raise Faulty("journal.most_mb", "twice segment_mb or more", told["most_mb"])
-    return {"folder": check(told.get("dir"), TEXT, "journal.dir"), "batch": ns(told["batch_ms"]),
-            "segment": int(told["segment_mb"] * 1e6), "most": int(told["most_mb"] * 1e6), "keep": told["keep_s"]}
+    return table and {"folder": table.dir, "batch": ns(table.batch_ms), "segment": int(table.segment_mb * 1e6),
+                      "most": int(table.most_mb * 1e6), "keep": table.keep_s}
 
 
-def mqtt(told, names, terms):
+def mqtt(table, names, terms):
     """What the MQTT front is started with; None: there is none."""
-    if told is None:
+    if table is None:
         return None
-    check(told, OBJECT, "mqtt")
-    defaults = {"connections": 256, "sessions": 1024, "inflight": 64, "expiry_ms": 10000.0, "session_expiry_s": 3600.0}
-    told = {"plan": "", "answers": "answers", **defaults, **told}
-    for key in defaults:
-        check(told[key], COUNT if isinstance(defaults[key], int) else NUMBER, f"mqtt.{key}")
-    if told["plan"] and told["plan"] not in names.plans:
-        raise Faulty("mqtt.plan", "a plan that there is", told["plan"])
-    from ..mqtt.codec import Malformed  # its modules are for those who use it
     from ..mqtt.topics import Route
     routes = []
-    for k, row in enumerate(check(told.get("topics"), LIST, "mqtt.topics")):
-        where = f"mqtt.topics[{k}]"
-        if check(row, OBJECT, where).get("product") not in names.products:
-            raise Faulty(f"{where}.product", "a product that there is", row.get("product"))
-        if not 0 < check(row.get("units", 1.0), NUMBER, f"{where}.units") <= terms.largest:
-            raise Faulty(f"{where}.units", "what one txn may have", row["units"])
-        if not PATH.fullmatch(check(row.get("path"), TEXT, f"{where}.path")):
-            raise Faulty(f"{where}.path", "a path of printable ASCII", row["path"])
-        try:
-            routes.append(Route(check(row.get("filter"), TEXT, f"{where}.filter"), row["product"], row["path"],
-                                row.get("units", 1.0), terms.products[names.products[row["product"]]].kind, terms.nodes))
-        except Malformed as trouble:
-            raise Faulty(f"{where}.filter", "a topic filter", str(trouble)) from None
-    return {"address": place(told, "listen", "mqtt."), "routes": routes, "plan": told["plan"], "answers": told["answers"],
-            **{key: told[key] for key in ("connections", "sessions", "inflight")}, "expiry": ns(told["expiry_ms"]),
-            "session_expiry": int(told["session_expiry_s"] * 1e9)}
+    for k, row in enumerate(table.topics):
+        if row.units > terms.largest:
+            raise Faulty(f"mqtt.topics[{k}].units", "what one txn may have", row.units)
+        routes.append(Route(row.filter, row.product, row.path, row.units,
+                            terms.products[names.products[row.product]].kind, terms.nodes))
+    return {"address": place(table.listen, "mqtt.listen"), "routes": routes, "plan": table.plan, "answers": table.answers,
+            "connections": table.connections, "sessions": table.sessions, "inflight": table.inflight,
+            "expiry": ns(table.expiry_ms), "session_expiry": int(table.session_expiry_s * 1e9)}
 
 
 def read(config, environ, descriptors=1 << 20):
     check(config, OBJECT, "the configuration")
-    told = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
-    config = {**{key: environ[name] for key, name in told.items() if environ.get(name)}, **config}
+    environs = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY"}
+    config = {**{key: environ[name] for key, name in environs.items() if environ.get(name)}, **config}
     settings = check(config.get("settings"), OBJECT, "settings")
     for paths, needed in ((NEEDED, True), (OPTIONAL, False)):
         for path, kind in paths:
@@ -235,7 +196,8 @@
     sockets = int(min(limits["sockets"], descriptors))
     if sockets < 128:
         raise Faulty("limits.sockets", "128 or more, and the process's own limit too", sockets)
-    heard = mqtt(config.get("mqtt"), names, terms)
+    told = tabled(config, names)
+    heard = mqtt(told["mqtt"], names, terms)
     if heard and sockets - heard["connections"] < 128:
         raise Faulty("mqtt.connections", f"{sockets - 128} or less, to leave 128 descriptors", heard["connections"])
     seed = config.get("seed", "0")
@@ -251,18 +213,18 @@
     more = {**SETTINGS, **settings["Limits"]}
     # The operators' address of this process: an upgrade starts the same configuration with a new one told.
     admin = environ.get("RELAY_ADMIN_ADDR") or config.get("admin_addr")
-    admin = place({"admin_addr": admin}, "admin_addr") if admin else None
+    admin = place(admin, "admin_addr") if admin else None
     return Launch(
-        name=check(config.get("name"), TEXT, "name"), listen=place(config, "listen"),
+        name=check(config.get("name"), TEXT, "name"), listen=place(config.get("listen"), "listen"),
         inherited=descriptor(environ), admin=admin,
-        discovery=place(config, "discovery"),
-        counter=place(config, "counter") if terms.has_counter else None,
+        discovery=place(config.get("discovery"), "discovery"),
+        counter=place(config.get("counter"), "counter") if terms.has_counter else None,
         seed=seed, known=known, terms=terms, names=names,
         bounds=bounds.fill(sockets - (heard["connections"] if heard else 0), ns(more["ConnectTimeout"]), ns(more["Keepalive"])),
         reports=settings.get("Reporting", {}).get("How", "none") != "none",
-        levels=levels(config.get("log") or {}), syslog=syslog(config.get("syslog")),
-        storm=storm(config.get("storm"), settings["Classes"]), mqtt=heard,
-        journal=journal(config.get("journal")))
+        levels=levels(config.get("log") or {}), syslog=syslog(told["syslog"]),
+        storm=storm(told["storm"], settings["Classes"]), mqtt=heard,
+        journal=journal(told["journal"]))
 
 
 def load(environ=os.environ):
--- a/rampfront/net/log.py
+++ b/rampfront/edge/log.py
@@ -10,7 +10,7 @@
 import orjson
 import structlog
 
-from .notes import Notes
+from ..net.notes import Notes
 
 COUNTED = ("clients", "clients_shed", "taken", "malformed", "pipelined", "slow", "left", "settled",
            "declined", "voided", "turned_away", "submissions", "dispatches", "resent", "copies", "done", "relayed", "error", "unseen",
--- a/rampfront/lab/journals.py
+++ b/rampfront/lab/journals.py
@@ -12,7 +12,7 @@
 from ..journal.keeper import Keeper
 from ..journal.store import Store
 from ..net.desk import Clock, Timers
-from ..net.log import Log
+from ..edge.log import Log
 
 MS, SEC = 10 ** 6, 10 ** 9
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -210,9 +210,9 @@
 
 class Stage:
     def __init__(self, servers=1, limits=None, **settings):
-        from rampfront.__main__ import start  # here, since what plays the system has other libraries
-        from rampfront.net.launch import read
-        from rampfront.net.log import Log
+        from rampfront.edge.node import start  # here, since what plays the system has other libraries
+        from rampfront.edge.launch import read
+        from rampfront.edge.log import Log
         self.file = config(servers, **settings)  # what SIGHUP finds
         self.beats = True  # whether discovery beats and the counter answers a PING
         self.now, self.number, self.handles, self.lines = 0, 0, [], []
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -13,7 +13,7 @@
 from rampfront.cli import app
 from rampfront.journal import reader, records as r, rules, store as stores
 from rampfront.lab.crash import Harness
-from rampfront.net import launch
+from rampfront.edge import launch
 
 T = 10 ** 18
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -13,10 +13,10 @@
 
 from helper import SETTINGS
 from rampfront import terms as t
-from rampfront.__main__ import start
-from rampfront.net import discovery, launch
+from rampfront.edge.node import start
+from rampfront.edge import discovery, launch
 from rampfront.net.desk import Clock
-from rampfront.net.log import Log
+from rampfront.edge.log import Log
 
 NODES, SECONDS = 8, 2.4
 WINDOW = 7_500_000_000  # of the plan `held`: 1.5 times as long as its burst lasts at its rate
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -23,7 +23,7 @@
 from rampfront.lab.nodes import Node
 from rampfront.lab.plan import changed, read_plan
 from rampfront.mqtt import codec as c, session as s, topics
-from rampfront.net import launch
+from rampfront.edge import launch
 
 PLAN = Path(__file__).parents[1] / "experiments/mqtt.toml"
 KEY = "00000000b4d65521"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,11 +16,11 @@
 
 from helper import Stage, config, target
 from rampfront import terms as t
-from rampfront.__main__ import start
-from rampfront.net import launch
+from rampfront.edge.node import start
+from rampfront.edge import launch
 from rampfront.net.desk import Clock
 from rampfront.net.front import Client
-from rampfront.net.log import Log
+from rampfront.edge.log import Log
 from rampfront.net.upstream import shut, units, unread, use
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -12,8 +12,8 @@
 from rampfront.lab import report
 from rampfront.lab.plan import changed, parse_plan
 from rampfront.lab.run import Repeat
-from rampfront.net.launch import Faulty, load, read
-from rampfront.net.log import Log
+from rampfront.edge.launch import Faulty, load, read
+from rampfront.edge.log import Log
 
 ROOT = Path(__file__).parents[1]
 EXAMPLE = (ROOT / "rampfront.example.toml").read_text()
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -11,7 +11,7 @@
 from rampfront.lab import report
 from rampfront.lab.plan import changed, read_plan
 from rampfront.lab.run import Repeat
-from rampfront.net.log import COUNTED
+from rampfront.edge.log import COUNTED
 
 SEC = 10 ** 9
 T = 10 ** 18
--- a/tests/test_syslog.py
+++ b/tests/test_syslog.py
@@ -9,7 +9,7 @@
 
 from rampfront.lab.collector import Collector
 from rampfront.net.desk import Clock, Timers
-from rampfront.net.log import Log
+from rampfront.edge.log import Log
 from rampfront.syslog import codec
 from rampfront.syslog.decisions import message
 from rampfront.syslog.outbox import Outbox
