--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -116,11 +116,12 @@
             self.pool.glass.over(self.ref, self.target.uid, now, sightings.HUNG if hung else SAW.get(how))
         super().finish(how, keep)
 
-    def outcome(self, how):
+    def outcome(self, how, took):
         if self.exchange and how not in UNRUN:
             self.exchange.risky = True
         if how not in (t.DONE, t.ERROR) or self.exchange is None:
             return None, 0, None
+        self.pool.answers.note(took)
         answer = Answer(self.parser.get_status_code(), self.fields, b"".join(self.body))
         self.fields = None
         if how == t.ERROR and answer.status not in PROMISES:
@@ -130,12 +131,12 @@
 
 class Harbour(Upstream):
     """The pool of one service. `loads(index, running, waiting, slots)` is told what answers say of their server,
-    `gone(uid)` that another has its address, `glass` how each request ends."""
+    `gone(uid)` that another has its address, `glass` how each request ends, `answers` (`Spans`) how long each took."""
     kind = Haul
 
-    def __init__(self, loop, desk, bounds, health, log, loads, gone, glass):
+    def __init__(self, loop, desk, bounds, health, log, loads, gone, glass, answers):
         super().__init__(loop, desk, bounds, False, log)
-        self.loads, self.gone, self.glass = loads, gone, glass
+        self.loads, self.gone, self.glass, self.answers = loads, gone, glass, answers
         self.rest_most = bounds.link_idle  # how long a connection may have rested to carry what may run only once
         self.probe_text = b"GET %s HTTP/1.1\r\nHost: health\r\n\r\n" % health
 
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -16,6 +16,7 @@
 from ..net.desk import Timers
 from ..pilot.core import Pilot
 from ..pilot.front import Gate
+from ..net.spans import Spans
 from ..tide import words
 from ..tide.gauge import Gauge
 from ..tide.mooring import Mooring
@@ -63,6 +64,7 @@
         self.state, self.states, self.lists = None, States(), Wake(0, 7)  # the last two: what differences rest on
         self.keeper, self.disk, self.logbook = None, None, None
         self.orders = Orders(self)
+        self.add_trips, self.word_ages = Spans(), Spans()  # round trips of counts, ages of the word
         if papers.folder:
             self.disk = ports.crew(1)
             self.logbook = ports.logbook(papers.folder)
@@ -76,6 +78,8 @@
         if papers.platform:
             self.poller = ports.poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL)
         self.polling, self.ending = False, False
+        if self.poller:
+            self.poller.on_drop = self.unpolled
 
     # ---- between nodes
 
@@ -99,7 +103,10 @@
                 self.send(ip, {"k": "sum", "m": answer})
             self.overflow()
         elif kind == "sum":
+            out = self.tide.out
             self.say(self.mooring.told(now, ip, message["m"]))
+            if out and self.tide.out is not out:
+                self.add_trips.note(now - out.first_at)
             self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
         elif kind == "sight":
             self.sighted(ip, message["r"], now)
@@ -206,6 +213,10 @@
         self.serve(replace(servers, number=number))
         self.lookout.spread(now)
 
+    def unpolled(self, why):
+        self.counts["lists_failed"] += 1
+        self.log.note("platform", "list", why=why)
+
     def serve(self, servers):
         self.lookout.servers = servers.number
         self.lists.put(servers.number, servers.rows)
@@ -286,6 +297,8 @@
         if (rows := self.pilot.glass.due(now)) and self.lookout.leader:
             self.send(self.lookout.leader, {"k": "sight", "r": rows})
         self.look(now)
+        if self.lookout.word_at is not None:
+            self.word_ages.note(max(0, now - self.lookout.word_at))
         self.say(self.mooring.beat(now))
         self.arm_tide()
 
