The laboratory plays the whole system: real pilots, faults by schedule, a judge, reports

Cuts go by a relay at one more port of each address, disk errors and the simpler variants (split quotas, unshared counts, random pick) by the laboratory's own entry point: the program gets no switch.

--- a/rampfront/bridge/slipway.py
+++ b/rampfront/bridge/slipway.py
@@ -75,11 +75,12 @@
     return [Node(f"pilot-{k + 1}", str(first + k), zones[k % len(zones)], port, k < len(zones)) for k in range(count)]
 
 
-def settings(node, nodes, platform, folder, first=True):
-    """A node's settings file, in the words of DEPLOY.md. `first`: at the first start of the whole system."""
+def settings(node, nodes, platform, folder, first=True, zones=ZONES, lag="0ms", **guarantees):
+    """A node's settings file, in the words of DEPLOY.md. `first`: at the first start of the whole system; `lag`: the
+    platform's; `guarantees`: figures of the rules besides the grace."""
     disks = sum(other.disk for other in nodes)
     own = {"NodeName": node.name, "Role": "pilot", "MachineClass": "front", "Ip": node.ip, "Zone": node.zone,
-           "Serves": ["front", "control", "directory"], "Region": ZONES[node.zone], "CountsAsLoss": node.disk,
+           "Serves": ["front", "control", "directory"], "Region": zones[node.zone], "CountsAsLoss": node.disk,
            "FirstBoot": first, "Caps": {"CpuShare": 1.0, "Cores": 1, "MemoryMb": 300, "OpenFiles": 1024}}
     if node.disk:
         own["DataFolder"] = str(folder / node.name)
@@ -88,10 +89,10 @@
         "Network": {"ListenOn": {"Front": node.front, "ReadyCheck": node.ready, "Control": node.control,
                                  "Directory": node.directory},
                     "PortRange": [node.port + 4, node.port + PORTS - 1],
-                    "SeedNodes": [other.control for other in nodes[:3]], "Zones": ZONES},
-        "Hosting": {"PlatformApi": {"Address": platform, "PerS": 40.0, "MaxLag": "0ms"}},
+                    "SeedNodes": [other.control for other in nodes[:3]], "Zones": zones},
+        "Hosting": {"PlatformApi": {"Address": platform, "PerS": 40.0, "MaxLag": lag}},
         "AgreedTerms": {"Survive": {"Machines": max(0, (disks - 1) // 2), "Zones": 0, "Regions": 0},
-                        "Guarantees": {"Grace": f"{int(GRACE_S * 1000)}ms"}}}
+                        "Guarantees": {"Grace": f"{int(GRACE_S * 1000)}ms", **guarantees}}}
 
 
 def configuration():
@@ -158,8 +159,8 @@
         """Returns once every node is ready. Raises Stranded."""
         until = time.monotonic() + patience_s
         await self.stand_ins()
-        ips = [node.ip for node in layout(self.count, self.base, 0)]
-        self.nodes = layout(self.count, self.base, free_row(ips))
+        self.nodes = self.berths(free_row([node.ip for node in self.berths(0)]))
+        await self.prepare()
         for node in self.nodes:
             self.launch(node)
         channel = Channel([tuple(ip_port(node.control)) for node in self.nodes], 1.0)
@@ -169,6 +170,22 @@
             while not await self.is_ready(node):
                 await self.wait(until, f"{node.name} does not become ready")
 
+    # ---- what another small system does its own way
+
+    def berths(self, port):
+        """The nodes, each with its row of ports from `port` on."""
+        return layout(self.count, self.base, port)
+
+    async def prepare(self):
+        """Called once the nodes have their places, before any is started."""
+
+    def papers(self, node, first):
+        return settings(node, self.nodes, place(self.listener.address), self.folder, first)
+
+    def program(self, node):
+        """The command that starts a node."""
+        return [sys.executable, "-m", "rampfront.station"]
+
     async def stand_ins(self):
         clock = time.time_ns
         self.platform = Platform(clock)
@@ -181,14 +198,14 @@
                 await self.fleet.start(make, list(ZONES)[k % min(self.count, len(ZONES))])
 
     def launch(self, node, first=True):
-        told = settings(node, self.nodes, place(self.listener.address), self.folder, first)
+        told = self.papers(node, first)
         if node.disk:
             os.makedirs(told["Self"]["DataFolder"], exist_ok=True)
         path = self.folder / f"{node.name}.json"
         path.write_text(json.dumps(told, indent=1))
         with open(self.folder / f"{node.name}.log", "ab") as log:
             self.children[node.name] = subprocess.Popen(
-                [sys.executable, "-m", "rampfront.station"], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                self.program(node), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 env={**child_environment(), "RAMPFRONT_SETTINGS": str(path)})
 
     async def is_ready(self, node):
--- a/rampfront/cli.py
+++ b/rampfront/cli.py
@@ -17,6 +17,9 @@
                   no_args_is_help=True)
 report = typer.Typer(help="Reports of experiments: percentiles, outcomes, quota overshoot, plots.", no_args_is_help=True)
 app.add_typer(lab, name="lab")
+whole = typer.Typer(help="The whole system: real pilots, stand-ins of all else, faults by schedule, a judge.",
+                    no_args_is_help=True)
+lab.add_typer(whole, name="system")
 app.add_typer(report, name="report")
 journal = typer.Typer(help="The journal of once-only txns: what was sent, where and when, and what became of it.",
                       no_args_is_help=True)
@@ -210,6 +213,65 @@
     typer.echo(f"highest rate sustained with p99 overhead under 1 ms: {sweeps.sustained(rows)} txn/s (emulated)")
 
 
+def system_plan(path):
+    from .lab.plan import BadPlan
+    from .lab.system.plan import read_plan
+    try:
+        return read_plan(path)
+    except BadPlan as trouble:
+        fail(trouble, WRONG)
+
+
+@whole.command("check")
+def whole_check(plan: PlanFile):
+    """Check an experiment file of the whole system and say what it would play."""
+    from .lab.system import plan as plans, schedule
+    told = system_plan(plan)
+    typer.echo(f"{told.name}: {len(plans.places(told))} pilots, {len(plans.servers(told))} servers, "
+               f"{sum(s.rate for s in told.streams):g} requests/s for {told.duration_s:g} s, as {', '.join(told.variants)}")
+    lines = [(event.at, f"{event.target:10} {event.kind} {'on' if event.on else 'off'} {event.size or ''}")
+             for event in schedule.faults(told, told.seed)]
+    lines += [(step.at, f"{step.call} {step.zone or f'r{step.revision}'}{'' if step.valid else ', invalid'}")
+              for step in schedule.orders(told)]
+    for at, line in sorted(lines):
+        typer.echo(f"  {at / 1e9:8.2f} s  {line}")
+
+
+@whole.command("run")
+def whole_run(plan: PlanFile, out: OutFolder = Path("found/system"),
+              only: Annotated[Optional[str], typer.Option("--variant", help="This variant alone.")] = None):
+    """Play an experiment on the whole system, each of its variants, and report it. Exit 1 if the system itself (the
+    variant "system") breaks a rule."""
+    from .lab import plots
+    from .lab.system import plan as plans, report as reports, run as runs
+    told = system_plan(plan)
+    if only is not None and only not in plans.VARIANTS:
+        fail(f"--variant: {only!r} is none of {', '.join(plans.VARIANTS)}", WRONG)
+    sides = {}
+    for variant in [only] if only else told.variants:
+        said = sides[variant] = guarded(runs.play, told, variant, told.seed, out / variant)
+        typer.echo(reports.text(said))
+        plots.timeline(said, out / variant / "timeline.png")
+        if said["latency_ms"]["count"]:
+            plots.percentiles({name: row["latency_ms"]["hdr"] for name, row in said["routes"].items()
+                               if row["latency_ms"]["count"]}, out / variant / "latency.png", said["name"])
+    plots.shares(sides, out / "worth.png", told.name)
+    for row in next(iter(sides.values()))["accounts"]:
+        plots.quotas(sides, out / f"quota-{row['account']}.png", row["account"], told.name)
+    if "system" in sides and sides["system"]["rules_broken"]:
+        raise typer.Exit(FAILED)
+    for variant, said in sides.items():
+        if said["refused"]:
+            fail(f"{out / variant}: {said['refused']}", REFUSED)
+
+
+@whole.command("speed")
+def whole_speed(plan: PlanFile, out: OutFolder = Path("found/speed")):
+    """The rates of `speed.rates`: straight to the servers, through one pilot, through all; what the way adds."""
+    from .lab.system import report as reports, run as runs
+    typer.echo(reports.speed_text(guarded(runs.speed, system_plan(plan), out)))
+
+
 @app.command("load")
 def load(plan: PlanFile,
          target: Annotated[list[str], typer.Option(help="host:port of an edge node; once for each node.")],
--- a/rampfront/lab/boxes.py
+++ b/rampfront/lab/boxes.py
@@ -57,6 +57,12 @@
     return hashlib.blake2b(b"%s %s %s" % (uid.encode(), try_id, body), digest_size=8).hexdigest().encode()
 
 
+def answer_of(uid, make, try_id, body):
+    """What a server says to a request that ran: (body, seal)."""
+    said = (sealed(uid, try_id, body) * (make.body_bytes // 16 + 1))[:make.body_bytes]
+    return said, sealed(uid, try_id, said)
+
+
 class Box:
     """`spoil(box, request)` gives one of `SPOILS` or None for each request that ran; a deque of such words does too."""
 
@@ -66,6 +72,7 @@
         self.cold_until = clock() + cold if cold else 0
         self.listener = Listener(loop, lambda: Side(self), host, port)
         self.sides, self.runs, self.counts = {}, [], Counter()
+        self.arrivals = None  # a list, where a judge wants (at, try id) of all that came but what got 421
         self.leaving = self.well = False
         self.lately, self.most_cold = deque(), 0  # arrivals of the last second while cold, and the most there were
         self.owed = {}  # side -> an answer that is to come in the place of the next one
@@ -126,6 +133,9 @@
         if wanted is not None and wanted != self.uid.encode():
             self.counts["misdirected"] += 1
             return self.say(side, 421, b"", b"Server-Id: %s\r\n" % self.uid.encode(), try_id)
+        health = request.method == b"GET" and request.path == self.make.health
+        if self.arrivals is not None and not health and try_id:
+            self.arrivals.append((now, try_id.decode("latin-1")))
         if self.cold_until > now:
             self.lately.append(now)
             while self.lately[0] <= now - SEC:
@@ -133,7 +143,6 @@
             self.most_cold = max(self.most_cold, len(self.lately))
             if len(self.lately) > 3 * self.make.cold_per_s + 5:
                 return self.crash()
-        health = request.method == b"GET" and request.path == self.make.health
         if not health and not try_id:
             return self.say(side, 400, b"", NOT_RUN)
         left = fields.get(b"time-left-ms", b"")
@@ -182,13 +191,13 @@
 
     def settle(self, request, late):
         side, try_id = request.side, request.fields[b"try-id"]
-        body = (sealed(self.uid, try_id, request.body) * (self.make.body_bytes // 16 + 1))[:self.make.body_bytes]
+        body, stamp = answer_of(self.uid, self.make, try_id, request.body)
         how = None
         if self.spoil is not None:
             how = self.spoil(self, request) if callable(self.spoil) else self.spoil.popleft() if self.spoil else None
         if how:
             self.counts[how] += 1
-        seal = b"Server-Seal: %s\r\n" % sealed(self.uid, try_id, body)
+        seal = b"Server-Seal: %s\r\n" % stamp
         if how == "lost":  # it ran, and nobody hears of it
             return None
         if how == "reset":
--- a/rampfront/lab/client.py
+++ b/rampfront/lab/client.py
@@ -157,7 +157,7 @@
     thread sleeps and writes to an eventfd."""
 
     def __init__(self, loop, moments, start, what):
-        self.moments, self.start, self.what = moments, start, what
+        self.loop, self.moments, self.start, self.what, self.ended = loop, moments, start, what, False
         self.fd = os.eventfd(0, os.EFD_NONBLOCK)
         loop.add_reader(self.fd, self.wake)
         threading.Thread(target=self.run, daemon=True).start()
@@ -173,9 +173,15 @@
                 time.sleep(wait / SEC)
             last = int(at)
             os.eventfd_write(self.fd, 1)
-        while True:  # what came within the last gap
+        while not self.ended:  # what came within the last gap
             time.sleep(0.001)
             os.eventfd_write(self.fd, 1)
+        os.close(self.fd)
+
+    def end(self):
+        """For those who need no more of it before their process ends."""
+        self.loop.remove_reader(self.fd)
+        self.ended = True
 
     def wake(self):
         try:
--- a/rampfront/lab/plots.py
+++ b/rampfront/lab/plots.py
@@ -96,6 +96,23 @@
     return finish(figure, path)
 
 
+def shares(sides, path, title=""):
+    """Share of the worth owed that was earned, over time, of runs of the whole system. `sides`: label to report."""
+    figure, axes = plt.subplots(figsize=(9, 3.6))
+    for label, report in sides.items():
+        every, share = report["series"]["share_every_s"], report["series"]["share"]
+        axes.plot((np.arange(len(share)) + 0.5) * every, [np.nan if v is None else v for v in share], label=label)
+    first = next(iter(sides.values()))
+    shade(axes, first["faults"], first["seconds"])
+    axes.set_ylim(0, 1.05)
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("share of the worth owed")
+    axes.set_title(title)
+    axes.legend(fontsize=8)
+    axes.grid(alpha=0.3)
+    return finish(figure, path)
+
+
 def recovery(sides, path, title=""):
     """Share of each second's txns that were settled within their SLA time. `sides`: label to report."""
     figure, axes = plt.subplots(figsize=(9, 3.6))
--- /dev/null
+++ b/rampfront/lab/system/machine.py
@@ -0,0 +1,120 @@
+"""A pilot as the laboratory alone runs it: `python -m rampfront.lab.system.machine JSON`, settings as ever.
+
+It is the program itself with parts swapped behind its back, so that the program needs no switch for tests: frames go by the
+relay, the disk refuses on command, and for comparison quotas and the pick of servers may be simpler ones. JSON holds
+`relay` (port, 0: none), `variant` (of `plan.VARIANTS`), `pilots` (their number) and `disk` (a file: while it stands, its
+words say what the disk does).
+"""
+
+import errno
+import json
+import os
+import sys
+import time
+
+from ... import choice
+from ...lighthouse.logbook import Files
+from ...station.__main__ import main
+from ...station.station import Station
+from ...tide.tide import NEVER, Tide
+from ..tally import Bucket
+
+SEC = 10 ** 9
+LONGEST = 2 * SEC
+
+
+class Platter(Files):
+    """A disk in trouble while the file `told` stands: "full", or so many ms for each sync."""
+
+    def __init__(self, told):
+        self.told = told
+
+    def trouble(self, sync):
+        try:
+            with open(self.told) as file:
+                said = file.read()
+        except OSError:
+            return
+        if said == "full":
+            raise OSError(errno.ENOSPC, "no space left (by the laboratory)")
+        if sync:
+            time.sleep(float(said or 0) / 1000)
+
+    def remove(self, path):
+        self.trouble(False)
+        super().remove(path)
+
+    def sync(self, path):
+        self.trouble(True)
+        super().sync(path)
+
+
+class Apart(Tide):
+    """Each pilot keeps quotas by itself: `part` of each, and nobody is told."""
+
+    def __init__(self, tide, part):
+        super().__init__(tide.me, tide.draw, tide.terms.window, 0, tide.terms.excess, tide.terms.slack)
+        self.part, self.buckets, self.next_at = part, {}, NEVER
+
+    def limits(self, customers, now):
+        super().limits(customers, now)
+        self.next_at, old = NEVER, self.buckets
+        self.buckets = {}
+        for name, row in self.tenants.items():
+            rate, depth = row.quota.per_s * self.part, max(1.0, row.quota.depth * self.part)
+            bucket = old.get(name)
+            if bucket is None or (bucket.rate, bucket.burst) != (rate, depth):
+                bucket = Bucket(rate, depth)
+                bucket.at = now
+            self.buckets[name] = bucket
+
+    def take(self, name, now):
+        bucket = self.buckets.get(name)
+        if bucket is None or bucket.take(1.0, now):
+            return None
+        return min(LONGEST, int((1.0 - bucket.level) / bucket.rate * SEC) + 1)
+
+    def give_back(self, name, now):
+        if bucket := self.buckets.get(name):
+            bucket.level = min(bucket.burst, bucket.level + 1.0)
+
+    def due(self, now):
+        return None
+
+    def moved(self, now):
+        pass
+
+
+def by_chance(node, txn):
+    """Any server that the rules leave, all alike."""
+    some = node.lawful(txn)
+    some = [server for server in some if server.id != txn.last] or some
+    return node.pick(some)[0] if some else None
+
+
+def machine(told):
+    """The class of the process."""
+    if told["variant"] == "random":
+        choice.Node.choose = by_chance
+
+    class Machine(Station):
+        def __init__(self, *about):
+            super().__init__(*about)
+            if self.logbook:
+                self.logbook.files = Platter(told["disk"])
+            part = {"split": 1.0 / told["pilots"], "unshared": 1.0}.get(told["variant"])
+            if part:
+                self.tide = self.pilot.tide = Apart(self.tide, part)
+
+        async def listen(self):
+            await super().listen()
+            if told["relay"]:
+                self.wire.port = told["relay"]  # it listens at its own by now, and sends here
+
+    return Machine
+
+
+if __name__ == "__main__":
+    code = main(machine(json.loads(sys.argv[1])))
+    sys.stderr.flush()
+    os._exit(code)
--- a/rampfront/station/__main__.py
+++ b/rampfront/station/__main__.py
@@ -10,7 +10,8 @@
 os.environ.setdefault("UV_USE_IO_URING", "0")  # before the loop is there: not every machine has it
 
 
-def main():
+def main(kind=None):
+    """`kind`: the class of the process, where it is not `Station` itself; the laboratory's machines have one."""
     import signal
 
     import uvloop
@@ -26,7 +27,7 @@
     mine = found.ok_value
     loop = uvloop.new_event_loop()
     log = Log(mine.name)
-    station = Station(loop, mine, log, int.from_bytes(os.urandom(8), "big"), path)
+    station = (kind or Station)(loop, mine, log, int.from_bytes(os.urandom(8), "big"), path)
     station.start()
     loop.add_signal_handler(signal.SIGTERM, station.end)
     loop.add_signal_handler(signal.SIGINT, station.end)
