--- a/rampfront/lab/system/plan.py
+++ b/rampfront/lab/system/plan.py
@@ -117,6 +117,7 @@
     pilot and through all."""
     rates: list[Positive] = field(default_factory=lambda: [100.0, 300.0, 600.0])
     seconds: Positive = 4.0
+    rounds: Count = 1  # all ways in turn so often, their rows together
 
 
 class Experiment(Part, kw_only=True):
