A save that failed and was not found cannot come back under a later save's index

Cause: the state machine of the disk found it: a save that failed on a full disk left whole data without an index; the next save of the same generation, cut by a loss of power, could pair its new index with the old data, and what was taken to be gone was read. Change: the record's key bears a nonce that its digest covers; records of before, without one, are read as they were. Measured: the sequence as a test fails without it; the state machine and every step of a save pass.

--- a/rampfront/lighthouse/logbook.py
+++ b/rampfront/lighthouse/logbook.py
@@ -21,6 +21,9 @@
 class Files:
     """File operations that `dbm.dumb` lacks or keeps quiet about; tests put a disk in its place that tears writes."""
 
+    def nonce(self):
+        return os.urandom(4).hex().encode()
+
     def remove(self, path):
         os.remove(path)
 
@@ -69,7 +72,7 @@
         except Exception:  # a torn index is no Python any more, in one of many ways
             return None
         try:
-            value = database[KEY]
+            key, value = next(iter(database.items()))
         except OSError:
             raise
         except Exception:
@@ -80,7 +83,7 @@
             return None
         generation, digest = HEAD.unpack_from(value)
         record = value[HEAD.size:]
-        return (generation, record) if digest == seal(generation, record) else None
+        return (generation, record) if key[:len(KEY)] == KEY and digest == seal(generation, record, key[len(KEY):]) else None
 
     def save(self, record):
         """Returns once the record is on stable storage. Raises OSError; the record may or may not be there then."""
@@ -94,7 +97,8 @@
                 pass
         database = dbm.dumb.open(path, "n")
         try:
-            database[KEY] = HEAD.pack(generation, seal(generation, record)) + record
+            nonce = self.files.nonce()
+            database[KEY + nonce] = HEAD.pack(generation, seal(generation, record, nonce)) + record
             database.close()
         finally:
             # Guards against a database that failed and writes its index once more when it is collected, which may be
@@ -109,5 +113,7 @@
         self.files.sync_folder(self.folder)
 
 
-def seal(generation, record):
-    return blake2b(record, digest_size=16, salt=struct.pack("<Q", generation)).digest()
+def seal(generation, record, nonce):
+    """Guards against a new index over the data of an older save that failed, of the same generation: it would bring back
+    what was taken to be gone. The index alone holds the nonce; a record of before has none."""
+    return blake2b(record, digest_size=16, salt=struct.pack("<Q", generation), person=nonce).digest()
--- a/tests/platter.py
+++ b/tests/platter.py
@@ -90,6 +90,7 @@
     def __init__(self):
         self.names, self.was = {}, {}  # name to inode; name to what it stood for since the folder was synced
         self.steps_left, self.fails, self.steps = None, None, 0
+        self.nonces = 0
 
     def step(self):
         self.steps += 1
@@ -172,6 +173,10 @@
         self.step()
         self.was = {}
 
+    def nonce(self):
+        self.nonces += 1
+        return b"%08x" % self.nonces
+
     def chmod(self, path, mode):
         pass
 
--- a/tests/test_lighthouse.py
+++ b/tests/test_lighthouse.py
@@ -1,5 +1,6 @@
 """The core: agreement, membership, storage, on a fake clock. The hard cases by hand, and seeded schedules."""
 
+import copy
 import os
 import random
 
@@ -665,6 +666,18 @@
     raise AssertionError("a save takes more steps than that")
 
 
+def test_a_save_that_failed_stays_gone_once_it_was_not_found():
+    """A new index over its data would bring it back, behind a loss of power in the middle of the next save."""
+    disks = Disks()
+    disks.begin()
+    disks.loses_power(seed=0, size=0, steps=0)
+    disks.is_full(size=0, steps=2)
+    disks.loses_power(seed=0, size=0, steps=0)
+    for seed in range(400):
+        again = copy.deepcopy(disks)
+        again.loses_power(seed=seed, size=1, steps=5)
+
+
 def test_a_record_read_behind_a_kill_is_synced_before_it_counts():
     platter = Platter()
     with platter.mounted():
