--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -148,7 +148,7 @@
             if cell.slots is None:
                 cell.spare += part
             else:
-                cell.blank = max(0.0, cell.blank - part / BROUGHT)
+                cell.blank = max(0.0, cell.blank - part)
 
     def count(self, cell, now, pilot, window, grown, before, left):
         """Of an add that crossed the window's end, what grew belongs to the past one. `left`: of a full add, the weight
