--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -36,7 +36,7 @@
         # parts of it (`arrive`). Harm: none to usual load, which is below the rate.
         self.blank = quota.depth if blank else 0.0
         self.spare, self.spare_at = quota.depth - self.blank, now
-        self.slots = deque(maxlen=SLOTS + 1) if quota.plain else None
+        self.slots = deque() if quota.plain else None
         self.told_at = now - SEC
         self.asked, self.asked_at = 0.0, now
 
@@ -168,16 +168,26 @@
         cell.total, cell.past = cell.total + grown, cell.past + before
         left = left if full else 1.0 - now % cell.quota.window / cell.quota.window
         self.level(cell, now)
+        if cell.slots is not None:
+            self.slot(cell, now, now, grown if full else grown + before)
+            if full:  # the pilot's past window ended so long ago, by its own windows
+                self.slot(cell, now, now - int((1.0 - min(1.0, left)) * cell.quota.window), before)
         cell.spare -= grown + before * left
-        if cell.slots is not None and grown + before:
-            slot = now // (cell.quota.window // SLOTS)
-            if cell.slots and cell.slots[-1][0] == slot:
-                cell.slots[-1][1] += grown + before
-            else:
-                cell.slots.append([slot, grown + before])
         if grown or before:
             self.news[cell.name] = cell
 
+    def slot(self, cell, now, at, amount):
+        """Counts what was let in up to the moment `at`."""
+        if amount:
+            slot, slots = at // (cell.quota.window // SLOTS), cell.slots
+            while slots and slots[0][0] < now // (cell.quota.window // SLOTS) - SLOTS:
+                slots.popleft()
+            place = next((i for i, (known, _) in enumerate(slots) if known >= slot), len(slots))
+            if place < len(slots) and slots[place][0] == slot:
+                slots[place][1] += amount
+            else:
+                slots.insert(place, [slot, amount])
+
     def demand(self, cell, now, asked=0):
         """Requests a second of all pilots, refused ones too: it fades, so it follows a surge at once."""
         cell.asked *= exp((cell.asked_at - now) / SOON)
--- a/tests/test_tide.py
+++ b/tests/test_tide.py
@@ -566,6 +566,22 @@
         assert least <= let <= most
 
 
+def test_without_burst_what_is_told_anew_counts_from_the_end_of_the_window_it_was_let_in_in():
+    bay = Bay("a", acme=(27, 0))
+    a, = bay.tides
+    bay.settle((5 * SEC - bay.now % (5 * SEC) + 4 * SEC) / SEC)  # a second before a window's end
+    assert bay.take(a, 90) == 90
+    bay.settle(3.5)
+    bay.gauge = bay.holder(8)
+    bay.gauge.proxies(1)
+    a.moved(bay.now)
+    bay.settle(0.2)
+    cell = bay.gauge.cells["acme"]
+    assert bay.gauge.level(cell, bay.now) <= 45
+    bay.now += 2800 * MS  # a QuotaWindow and a slot behind that end
+    assert bay.gauge.level(cell, bay.now) >= 0.9 * 135
+
+
 junk = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
                     lambda inner: st.lists(inner, max_size=8) | st.dictionaries(st.sampled_from("lsgahtfwzpqb"), inner),
                     max_leaves=12)
