A zone that two operators empty stays so until both have taken it back

Change: an empty.start that was answered is held in the core's state half a second later; with two held, a finish takes one back. Orders that come again since no answer was heard are not told apart from new ones, so only those that were answered count: else as before.

--- a/rampfront/lighthouse/helm.py
+++ b/rampfront/lighthouse/helm.py
@@ -1,7 +1,7 @@
 """What a leader does: rounds of beats, new entries, orders, and who is taken in. It ends with its term."""
 
-from .state import MOST_BODY, MOST_NAMES, MOST_ZONE
-from .terms import AWAY, CONFIG, DONE, DOUBT, EMPTY, FILL, READ, REFUSED, Send, Told
+from .state import MOST_ASKS, MOST_BODY, MOST_NAMES, MOST_ZONE
+from .terms import AWAY, CONFIG, DONE, DOUBT, EMPTY, FILL, HOLD, READ, REFUSED, Send, Told
 
 MS, SEC = 10 ** 6, 10 ** 9
 
@@ -256,7 +256,7 @@
         if state is not was:
             for order in carried:
                 order.index = was.index + 1
-            self.propose(rev=state.rev, body=state.body, zones=state.zones)
+            self.propose(rev=state.rev, body=state.body, zones=state.zones, held=state.held)
         if moot:
             self.confirm(moot, 0)
 
@@ -297,9 +297,9 @@
     if kind == CONFIG:
         return (type(body) in (tuple, list) and len(body) == 2 and type(body[0]) is int and 0 < body[0] < 1 << 53
                 and type(body[1]) is bytes and len(body[1]) <= MOST_BODY)
-    if kind in (EMPTY, FILL):
+    if kind in (EMPTY, FILL, HOLD):
         return (type(body) is str and 0 < len(body) <= MOST_ZONE
-                and (kind == FILL or len(entry.zones) < MOST_NAMES // 2 or body in entry.zones))
+                and (kind != EMPTY or len(entry.zones) < MOST_NAMES // 2 or body in entry.zones))
     return kind == READ
 
 
@@ -308,5 +308,14 @@
     if order.kind == CONFIG:
         rev, body = order.body
         return state.next(rev=rev, body=body) if rev > state.rev else state
-    zones = state.zones | {order.body} if order.kind == EMPTY else state.zones - {order.body}
-    return state if zones == state.zones else state.next(zones=zones)
+    zone, asks = order.body, state.held.count(order.body)
+    if order.kind == HOLD:
+        return state.next(held=tuple(sorted((*state.held, zone)))) if zone in state.zones and asks < MOST_ASKS else state
+    # Guards the second of two operators who empty one zone: the first to take it back does not speak for both. Orders that
+    # come again, since no answer came, are not told apart from new ones; those alone that were answered count.
+    rest = [other for other in state.held if other != zone] + [zone] * (asks - 1)
+    if order.kind == FILL and asks > 1:
+        return state.next(held=tuple(sorted(rest)))
+    if order.kind == EMPTY:
+        return state if zone in state.zones else state.next(zones=state.zones | {zone})
+    return state.next(zones=state.zones - {zone}, held=tuple(sorted(rest))) if zone in state.zones else state
--- a/rampfront/lighthouse/state.py
+++ b/rampfront/lighthouse/state.py
@@ -7,6 +7,7 @@
 from .terms import Odd
 
 MOST_BODY, MOST_NAMES, MOST_ZONE = 16 << 20, 64, 200  # bytes of a body; zones, and members; letters of a zone: at most
+MOST_ASKS = 8  # that hold one zone emptied
 
 
 def digest(body):
@@ -23,6 +24,7 @@
     rev: int = 0  # number of the newest configuration; 0: none yet
     body: bytes = b""  # as the operator sent it, compressed
     zones: frozenset = frozenset()  # that are being emptied
+    held: tuple = ()  # zones once for each EMPTY that was answered, in order
     members: dict = None
     base: dict = None
     mark: bytes = b""  # digest of the body
@@ -56,7 +58,7 @@
     def plain(self, whole=True):
         """As cbor2 carries it; without its body where the receiver is known to hold the same."""
         return [self.index, self.term, self.rev, self.body if whole else None, self.mark, sorted(self.zones),
-                flat(self.members), None if self.base is None else flat(self.base)]
+                flat(self.members), None if self.base is None else flat(self.base)] + ([list(self.held)] if self.held else [])
 
 
 def flat(members):
@@ -79,14 +81,17 @@
 
 def from_plain(row, bodies=()):
     """The checked State, or None if it comes without its body and none of the `bodies` is the same."""
-    if type(row) is not list or len(row) != 8:
+    if type(row) is not list or len(row) not in (8, 9):
         raise Odd("state")
-    index, term, rev, body, mark, zones, members, base = row
+    index, term, rev, body, mark, zones, members, base, *more = row
+    held = more[0] if more else []
     if any(type(number) is not int or not 0 <= number < 1 << 53 for number in (index, term, rev)):
         raise Odd("state's numbers")
     if (type(zones) is not list or len(zones) > MOST_NAMES
             or any(type(zone) is not str or len(zone) > MOST_ZONE for zone in zones)):
         raise Odd("zones")
+    if type(held) is not list or len(held) > MOST_NAMES * MOST_ASKS or any(zone not in zones for zone in held):
+        raise Odd("held")
     if type(mark) is not bytes or body is not None and (type(body) is not bytes or len(body) > MOST_BODY):
         raise Odd("body")
     members, base = table(members), None if base is None else table(base)
@@ -96,7 +101,7 @@
             return None
     elif digest(body) != mark:
         raise Odd("body is not what its mark says")
-    return State(index, term, rev, body, frozenset(zones), members, base, mark)
+    return State(index, term, rev, body, frozenset(zones), tuple(held), members, base, mark)
 
 
 def addresses(state):
--- a/rampfront/lighthouse/terms.py
+++ b/rampfront/lighthouse/terms.py
@@ -6,6 +6,7 @@
 # taken and never will be. DOUBT: may or may not come into force.
 DONE, AWAY, REFUSED, DOUBT = "done", "away", "refused", "doubt"
 CONFIG, EMPTY, FILL, READ = "config", "empty", "fill", "read"
+HOLD = "hold"  # an EMPTY has been answered: whoever asked it takes it back with a FILL of his own
 
 
 class Odd(ValueError):
@@ -34,7 +35,7 @@
 @slotted
 class Order:
     ref: object
-    kind: str  # CONFIG, EMPTY, FILL or READ
+    kind: str  # CONFIG, EMPTY, FILL, HOLD or READ
     body: object = None  # (rev, compressed bytes), or a zone, or nothing
 
 
--- a/rampfront/station/doors.py
+++ b/rampfront/station/doors.py
@@ -18,6 +18,7 @@
 SPARES, TIMES = 2, 16  # others of its region beside them; and how often each of its zone is named then
 FEW = 2  # fronts of its own zone that a client is given at least, else those of its region join them
 BACK = ((b"Retry-After", b"0.3"),)
+HOLDS = SEC // 2  # behind the answer to who empties a zone, it counts as one that he must take back himself
 
 
 class Ready:
@@ -94,7 +95,9 @@
     def order(self, asked, kind, body):
         def done(verdict, state):
             if verdict == lt.DONE:
-                asked.answer(200, b"{}")
+                if asked.answer(200, b"{}") and kind == lt.EMPTY:
+                    # Told a little later: guards against an answer that went down with this process, and is asked for again.
+                    self.station.timers.after(HOLDS, self.station.orders.give, lt.HOLD, body, lambda verdict, state: None)
             else:
                 asked.answer(503, b'{"Message":"the core gave no answer in time"}', BACK)
         self.station.orders.give(kind, body, done)
--- a/rampfront/station/orders.py
+++ b/rampfront/station/orders.py
@@ -51,7 +51,7 @@
             return self.told(message["ref"], message["v"], state)
         keeper = self.station.keeper
         kind, body, ref = message["o"], message["b"], message["ref"]
-        if kind not in ("config", "empty", "fill", "read") or type(ref) is not int:
+        if kind not in (lt.CONFIG, lt.EMPTY, lt.FILL, lt.HOLD, lt.READ) or type(ref) is not int:
             raise ValueError("no order")
         if keeper is None or not keeper.leads:
             return self.station.send(ip, {"k": "said", "ref": ref, "v": lt.AWAY})
