--- a/rampfront/model/voyage.py
+++ b/rampfront/model/voyage.py
@@ -368,6 +368,8 @@
         key, removed, proper, dice = f"{tenant}-key", None, True, chance.random()
         if tenant == "two" and (dice < 0.4 or straight) and self.revs:  # a key of a version, perhaps one of long ago
             at = max(0, len(self.revs) - 1 - chance.randrange(5))
+            if straight and straight.revision and chance.random() < 0.7:
+                at = self.revs.index(straight.revision)  # the worst one: what that front still knows
             key, proper = f"two-{self.revs[at]}", False
             removed = self.revs[at + 2] if at + 2 < len(self.revs) else None
         elif dice > 0.98:
