--- a/rampfront/model/voyage.py
+++ b/rampfront/model/voyage.py
@@ -60,7 +60,7 @@
 def draw_plan(seed, nodes, disks, length):
     """Rows of a plan; its own chance, so that what is drawn does not hang on what happens."""
     chance = Random(seed * 7919 + nodes)
-    plan, fury = [], chance.choice((0.5, 1.0, 1.5, 2.5))
+    plan, fury = [], chance.choice((0.1, 0.5, 1.0, 1.5, 2.5))
     some_of = {kind for kind in sorted(set(BLOWS)) if chance.random() < 0.5}  # together, more often, than all of them
     blows = [kind for kind in BLOWS if kind in some_of] or BLOWS
     zones, end = list(ZONES), BEGIN + length
@@ -132,7 +132,7 @@
     def plot():
         """What hurts a rule most, blow by blow."""
         at, k = BEGIN + chance.randrange(200, 1500), chance.randrange(nodes)
-        kind = chance.choice(("revoke", "revoke", "quota", "quota", "cold", "repeats", "empty"))
+        kind = chance.choice(("revoke", "revoke", "quota", "quota", "cold", "repeats", "empty", "leave"))
         if kind == "revoke":  # a machine that clients reach does not hear of two versions
             ways = chance.choice(("both", "both", "in", "out"))
             yield from ((at, "cut_one", k, ways, False, 9500), (at + 200, "config", False), (at + 600, "config", False),
@@ -142,6 +142,8 @@
                         (at + chance.randrange(-500, 2500), chance.choice(("kill", "freeze", "kill_all")), LEADER, 1500))
         elif kind == "cold":  # new servers under a surge
             yield from ((at, "surge", "ann", 5000), (at + 300, "restart", k), (at + 600, "restart", k + 1))
+        elif kind == "leave":  # planned work in calm: who is in touch must leave them alone in time
+            yield from ((at, "restart", k), (at + 700, "drain", k, False, 500), (at + 1500, "drain", k + 5, False, 500))
         elif kind == "repeats":
             yield from ((at, "surge", "ann", 4000), (at + 200, "refuse", SERVICES[k % 2], 4000))
         else:
