--- a/rampfront/model/voyage.py
+++ b/rampfront/model/voyage.py
@@ -153,6 +153,7 @@
     if chance.random() < 0.6:
         plan += plot()
     rows(chance.choice((0.5, 1.0, 2.0)), order, 3000)
+    plan = [row for row in plan if row[0] < end]  # the calm is left alone
     plan.append((end, "last", chance.choice(("none", "kill_all", "power", "power")), chance.randrange(1 << 16)))
     return sorted(plan, key=lambda row: row[0])
 
