--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """The whole run goes side by side in a fixed number of processes, so that what plays in real time waits side by side.
 
-A test that takes seconds says how many (`@pytest.mark.slow(7)`); such tests go first, each by itself, the others by their files.
+A test that takes seconds says how many (`@pytest.mark.slow(7)`); such tests go first, each by itself or, with a second word, one
+after another with those of the same word, as they need a core each; the others go by their files.
 One file or test alone, `-n`, or a machine without pytest-xdist: one process, as ever.
 """
 
@@ -34,11 +35,14 @@
     worker = os.environ.get("PYTEST_XDIST_WORKER", "")
     if not worker:
         return
-    slow = {item.nodeid: item.get_closest_marker("slow").args[0] for item in items if item.get_closest_marker("slow")}
-    turns = {name: turn for turn, name in enumerate(order(slow.items(), PROCESSES))}
-    for item in items:  # a slow test goes alone, all others by their files
-        item.add_marker(pytest.mark.xdist_group(f"slow-{turns[item.nodeid]}" if item.nodeid in turns else item.path.stem))
-    items.sort(key=lambda item: turns.get(item.nodeid, len(turns)))
+    groups, load = {}, {}
+    for item in items:  # a slow test goes alone, or with those that it may not stand beside; all others by their files
+        seconds, *beside = mark.args if (mark := item.get_closest_marker("slow")) else (0, item.path.stem)
+        groups[item] = group = beside[0] if beside else item.nodeid.replace("@", " ")
+        load[group] = load.get(group, 0) + seconds
+        item.add_marker(pytest.mark.xdist_group(group))
+    turns = {name: turn for turn, name in enumerate(order(load.items(), PROCESSES))}
+    items.sort(key=lambda item: turns[groups[item]])
     if nodes := sys.modules.get("rampfront.lab.nodes"):
         low = PORTS + ROW * int(worker.removeprefix("gw"))
         nodes.free_port.__defaults__ = "127.0.0.1", low, low + ROW
--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -111,7 +111,7 @@
     return told, *experiment(told, tmp_path, 1)
 
 
-@pytest.mark.slow(45)
+@pytest.mark.slow(45, "storms")
 def test_service_returns_after_an_outage_and_no_ledger_entry_runs_twice(tmp_path):
     told, done, _ = scaled(tmp_path)
     on_time = done["series"]["on_time"]
@@ -123,7 +123,7 @@
     assert done["emulator"]["once_only"]["runs"] > 100
 
 
-@pytest.mark.slow(35)
+@pytest.mark.slow(35, "storms")
 def test_hammering_clients_leave_ordinary_accounts_their_share(tmp_path):
     def streams(told):
         polite, hammer = told
@@ -138,7 +138,7 @@
     assert shed > 100  # the budget held them
 
 
-@pytest.mark.slow(4)
+@pytest.mark.slow(4, "storms")
 def test_a_reconnect_wave_is_survived_within_descriptors(tmp_path):
     from rampfront.lab.emulator import Lab
     from rampfront.lab.nodes import Node, descriptors, get
