--- a/rampfront/choice.py
+++ b/rampfront/choice.py
@@ -45,6 +45,7 @@
 REACH = 1.0  # room saved up at most, in submissions times seconds
 DOUBT, MEMORY, ABSENT = 4.0, 8 * SEC, 4.0  # answers worth the fleet's; half-life; a failed connect's
 COLD_MARGIN = 0.8  # part of the guessed cold budget that is used
+YIELD = 0.25  # part of a limit that is left to those of higher rank by the lowest
 TELLS = SEC  # half-life of what an answer told of the work at its server
 
 ARRIVED, READ, SETTLED, TARRIES, UNRUN, RISKY, LEFT = "arrived read settled tarries unrun risky left".split()
@@ -165,8 +166,8 @@
         account = self.account(told.account, told.plan, told.set_size)
         line, expiry = self.lines[told.product], self.now + told.expires_in
         came = self.now - self.waited(line, told.expires_in)
-        tries = told.tries or self.most
-        txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, came, expiry, NEW, told.within, tries, told.pull)
+        txn = self.txns[told.txn] = Txn(told.txn, line, account, told.units, came, expiry, NEW, told.within,
+                                        told.tries or self.most, told.pull, told.rank)
         self.beating or self.beat(self.now)
         self.step(txn, ARRIVED)
         if self.probes and self.up and self.random() < self.probes * (1.0 + PROBE_THIN / (1.0 + self.each)):
@@ -262,7 +263,7 @@
         self.sure = sum(map(self.odds, some)) / len(some) if some else self.sure
         # Guards against fast failure that looks like room: the doubtful get work by a draw of their chance of
         # success, held against the others', so when all fail alike none is condemned. Harm: a few lost txns.
-        pool = [(s, room * s.near ** txn.pull) for s in some if (room := self.room(s)) > 0
+        pool = [(s, room * s.near ** txn.pull) for s in some if (room := self.room(s, txn.rank)) > 0
                 and (not self.doubtful(s) or self.beta(s.won + 1, s.lost + 1) > 0.9 * self.sure)]
         pool = [(s, room) for s, room in pool if s.id != txn.last] or pool  # elsewhere, where there is one
         return self.pick([s for s, _ in pool], [room for _, room in pool])[0] if pool else None
@@ -474,8 +475,7 @@
         exact = txn.account.quota.rate <= 0  # a cap
         chance = 1.0 if exact else max(0.5, 1.0 / sqrt(self.stretch))  # in a crowd one stands for two
         if (exact or not txn.sent) and self.random() < chance and self.mark(CALL):
-            amount = txn.units * txn.scale * txn.age / chance
-            self.call(txn.name, -round(amount, 4), SEC, self.on_level, txn)
+            self.call(txn.name, -round(txn.units * txn.scale * txn.age / chance, 4), SEC, self.on_level, txn)
 
     def book(self, account):  # the name of an account's one count, and its age; they turn at spread moments
         life = account.quota.life
@@ -580,9 +580,9 @@
     def known(self, server):
         return 1.0 - DOUBT / (DOUBT + server.won + server.lost)
 
-    def room(self, server):
-        """What its limit leaves, by readiness and pace; in a large fleet, few it knows and cold ones."""
-        known, free = self.known(server), self.limit - server.held
+    def room(self, server, rank):
+        """What its limit leaves those of this rank, by readiness and pace; in a large fleet, few it knows and cold ones."""
+        known, free = self.known(server), self.limit * (1.0 - YIELD * rank) - server.held
         ready, trust = self.ready(server), (0.005 + known * known) / server.load ** (2.0 - 2.0 * known)
         if self.tells:  # what its answers told of all callers' work there goes before what is guessed
             trust = max(0.02, 1.0 - server.busy * 0.5 ** ((self.now - server.busy_at) / TELLS)) ** 2
--- a/rampfront/net/desk.py
+++ b/rampfront/net/desk.py
@@ -185,9 +185,9 @@
 
     # ---- inputs
 
-    def arrived(self, exchange, product, plan, account, units, expires_in, set_size, within=None, tries=0, pull=1.0):
+    def arrived(self, exchange, product, plan, account, units, expires_in, set_size, within=None, tries=0, pull=1.0, rank=0.0):
         exchange.txn = txn = self.books.take(exchange)
-        self.tell(t.Arrival(txn, product, plan, account, units, expires_in, set_size, within, tries, pull))
+        self.tell(t.Arrival(txn, product, plan, account, units, expires_in, set_size, within, tries, pull, rank))
 
     def left(self, exchange):
         if self.books.out[exchange.txn][2]:
--- a/rampfront/pilot/core.py
+++ b/rampfront/pilot/core.py
@@ -111,6 +111,7 @@
     def charted(self, chart):
         self.chart = chart
         self.within = {}
+        self.ranks = roads.ranks(chart)
         self.tide.limits(chart.named, self.clock())
         self.lay()
 
@@ -222,7 +223,8 @@
                 self.tide.give_back(tenant.name, now)
             raise Unfit(409, "its Try-Id is open")
         client.taken(passage)
-        pier.desk.arrived(passage, passage.product, 0, "all", 1, left, 1, self.homes(route, tenant), route.tries, roads.pull(len(body)))
+        pier.desk.arrived(passage, passage.product, 0, "all", 1, left, 1, self.homes(route, tenant), route.tries, roads.pull(len(body)),
+                          self.ranks(route.priority, tenant and tenant.priority))
 
     @staticmethod
     def tenant(chart, said):
--- a/rampfront/pilot/roads.py
+++ b/rampfront/pilot/roads.py
@@ -75,3 +75,14 @@
 def pull(size):
     """How much the way weighs for a request with so large a body: the power to which nearness is raised."""
     return 1.0 if size < LARGE else 3.0
+
+
+def ranks(chart):
+    """A function of a route's priority and its tenant's (None for none): 0 for who goes first, 1 for who yields first where
+    room is short. A tenant's priority is put before the route's (PROTOCOL.md, "Requests"); who has no tenant goes by the
+    route alone, among the tenants of the middle."""
+    tenants = sorted({tenant.priority for tenant in chart.named.values()}) or [0]
+    routes = sorted({route.priority for book in chart.hosts.values() for route in book.routes.values()}) or [0]
+    most, middle = max(1, len(tenants) * len(routes) - 1), tenants[len(tenants) // 2]
+    table = {(tenant, route): (i * len(routes) + k) / most for i, tenant in enumerate(tenants) for k, route in enumerate(routes)}
+    return lambda route, tenant: table.get((middle if tenant is None else tenant, route), 0.0)
--- a/rampfront/state.py
+++ b/rampfront/state.py
@@ -86,6 +86,7 @@
     within: object = None  # zones that may get it
     most: int = 0  # submissions
     pull: float = 1.0  # how much the way weighs
+    rank: float = 0.0  # 0 to 1: who yields where there is too little room for all; 0 yields to nobody
     sent: int = 0
     out: dict = field(default_factory=dict)  # its submissions that are out, and whether they hold a place
     last: int = -1  # where the last submission went
--- a/rampfront/terms.py
+++ b/rampfront/terms.py
@@ -103,6 +103,7 @@
     within: frozenset | None = None  # zones of the app servers that may get it; None: all
     tries: int = 0  # most submissions of it; 0: as the terms say
     pull: float = 1.0  # how much the way weighs for it: a large body goes a short one
+    rank: float = 0.0  # 0 to 1: the higher, the sooner it yields to others where room is short
 
 
 @slotted
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,7 +1,10 @@
 """Short plays against traces that people read; each says what it guards against."""
 
+from types import SimpleNamespace
+
 from helper import MS, Play
 from rampfront import terms as t
+from rampfront.pilot import roads
 
 
 def test_window_and_others():
@@ -557,3 +560,28 @@
                     p.node.txns.pop(2 * k + which)
         p.lines = [f"pressed {pressed:g}: sent on of 200, calm {sent[0] // 20} tens of two, busy {sent[1] // 20}"]
         p.check(f"yield_{pressed:g}")
+
+
+def test_the_last_room_is_for_those_of_high_rank():
+    """What yields first finds none where there is still some for the others; while there is plenty, rank is nothing."""
+    p = Play(servers=2, nodes=1, has_counter=False)
+    p.node.saved = 1.0
+    at = p.node.limit
+    for held, expected in ((0.0, [True, True]), (0.8 * at, [False, True]), (at, [False, False])):
+        for server in p.node.servers.values():
+            server.held = held
+        found = []
+        for rank in (1.0, 0.0):
+            txn = SimpleNamespace(rank=rank, pull=1.0, last=-1, line=p.node.lines[0], out={}, expiry=p.node.now + 1000 * MS, sent=1,
+                                  account=None, risk_at=None, within=None)
+            found.append(p.node.choose(txn) is not None)
+        assert found == expected, held
+
+
+def test_a_tenants_priority_goes_before_its_routes():
+    routes = {b"/a/": SimpleNamespace(priority=1), b"/b/": SimpleNamespace(priority=2)}
+    tenants = {name: SimpleNamespace(priority=priority) for name, priority in (("x", 0), ("y", 1), ("z", 1))}
+    rank = roads.ranks(SimpleNamespace(hosts={b"h": SimpleNamespace(routes=routes)}, named=tenants))
+    assert [rank(1, 0), rank(2, 0), rank(1, 1), rank(2, 1)] == [0.0, 1 / 3, 2 / 3, 1.0]
+    assert rank(1, None) == rank(1, 1) and rank(7, 7) == 0.0  # none it does not know yields
+    assert roads.ranks(SimpleNamespace(hosts={}, named={}))(0, None) == 0.0
