--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -8,27 +8,26 @@
 import os
 import random
 import zlib
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 from ..chart import chart as charts, papers as papers_of
-from ..flags.wire import Wire
 from ..lighthouse import terms as lt
 from ..lighthouse.keeper import Keeper
-from ..lighthouse.logbook import Logbook
-from ..lighthouse.state import from_plain
-from ..net.desk import Clock, Timers
+from ..net.desk import Timers
 from ..pilot.core import Pilot
 from ..pilot.front import Gate
 from ..net.spans import Spans
 from ..tide import words
 from ..tide.gauge import Gauge
+from ..tide.mooring import Mooring
 from ..tide.tide import Tide
 from ..watch import platform
-from ..watch.poller import Poller
+from ..watch.sightings import ROWS, Register
+from ..watch.wake import States, Wake
 from ..watch.word import TERM, Lookout
 from . import bounds as limits
 from .orders import Orders
+from .ports import PORTS
 
 MS, SEC = 10 ** 6, 10 ** 9
 TICK, SOON = 100 * MS, 25 * MS  # the one beat of all parts that look at the time; and until the first word
@@ -39,42 +38,45 @@
 
 
 class Station:
-    def __init__(self, loop, papers, log, seed, path=None):
+    def __init__(self, loop, papers, log, seed, path=None, ports=PORTS):
         self.path, self.seen = path, None  # the settings file, and what it looked like last
         self.loop, self.papers, self.log, self.counts = loop, papers, log, log.counts
-        self.clock = Clock()
+        self.clock = ports.clock()
         self.timers = Timers(loop, self.clock)
         self.draw = random.Random(seed)
         now = self.clock()
         seeds = [host for host, _ in papers.seeds]
         bounds = limits.fill(papers)
-        self.wire = Wire(loop, self.clock, papers.ip, papers.ports[0], log, self.heard)
+        self.wire = ports.wire(loop, self.clock, papers.ip, papers.ports[0], log, self.heard)
         front = "%s:%d" % papers.front if papers.front else ""
         self.lookout = Lookout(papers.name, papers.ip, papers.zone, front, seeds, self.draw, self)
         self.lease = papers.terms.revoke_within - MARGIN if papers.terms.revoke_everywhere else 60 * SEC
         self.tide = Tide(papers.name, self.draw, papers.terms.quota_window, now, papers.terms.quota_excess,
                          papers.terms.quota_slack)
         contract = words.Terms(papers.terms.quota_window, papers.terms.quota_excess, papers.terms.quota_slack)
-        self.gauge, self.holder = Gauge(self.draw.getrandbits(24), now, contract), None
+        self.gauge, self.mooring = Gauge(self.draw.getrandbits(24), now, contract), Mooring(self.tide)
         self.gauge_at = 0  # when the gauge has something to tell unasked; 0: nothing
         self.tide_at = 0  # when the timer that asks the tide is due; 0: there is none
         self.pilot = Pilot(loop, self.clock, papers, bounds, self.draw, self.tide, self.fresh, log)
         self.pilot.took = self.arm_tide
+        self.register = Register()
         self.gate = Gate(loop, self.pilot, bounds, log)
-        self.state = None
+        self.state, self.states, self.lists = None, States(), Wake(0, 7)  # the last two: what differences rest on
         self.keeper, self.disk, self.logbook = None, None, None
         self.orders = Orders(self)
         self.add_trips, self.word_ages = Spans(), Spans()  # round trips of counts, ages of the word
         if papers.folder:
-            self.disk = ThreadPoolExecutor(1)  # a disk that hangs holds up nobody but the keeper
-            self.logbook = Logbook(papers.folder)
+            self.disk = ports.crew(1)
+            self.logbook = ports.logbook(papers.folder)
             try:
                 self.keeper = Keeper(papers.name, papers.ip, seeds, True, papers.first, self.logbook.load(), self.draw,
                                      papers.survive[0], now)
             except OSError as trouble:
                 # Guards the core against a member that cannot read what it promised: this life it serves clients alone.
                 log.say("disk unread", why=repr(trouble))
-        self.poller = Poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL) if papers.platform else None
+        self.poller = None
+        if papers.platform:
+            self.poller = ports.poller(loop, self.clock, papers.platform, papers.platform_per_s, self.polled, POLL)
         self.polling, self.ending = False, False
         if self.poller:
             self.poller.on_drop = self.unpolled
@@ -84,6 +86,9 @@
     def send(self, ip, message):
         self.wire.send(ip, message)
 
+    def send_all(self, ips, message):
+        self.wire.send_all(ips, message)
+
     def heard(self, ip, message):
         now, kind = self.clock(), message["k"]
         if kind == "hail":
@@ -92,15 +97,22 @@
             self.lookout.on_word(ip, message, now)
             self.look(now)
         elif kind == "add":
-            self.send(ip, {"k": "sum", "m": self.gauge.add(now, ip, message["m"])})
+            if self.pilot.chart is None:
+                return  # Guards quotas: one that starts and knows no tenants yet would call them all idle
+            if (answer := self.gauge.add(now, ip, message["m"])) is not None:
+                self.send(ip, {"k": "sum", "m": answer})
             self.overflow()
         elif kind == "sum":
-            if ip == self.holder:
-                out = self.tide.out
-                self.tide.told(now, message["m"])
-                if out and self.tide.out is not out:
-                    self.add_trips.note(now - out.first_at)
-                self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
+            out = self.tide.out
+            self.say(self.mooring.told(now, ip, message["m"]))
+            if out and self.tide.out is not out:
+                self.add_trips.note(now - out.first_at)
+            self.arm_tide()  # what came due meanwhile need not wait for the timer that sends again
+        elif kind == "sight":
+            self.sighted(ip, message["r"], now)
+        elif kind == "dim":
+            if ip == self.lookout.leader:
+                self.pilot.sighted(message["r"])
         elif kind in ("order", "said"):
             self.orders.heard(ip, message)
         elif self.keeper:
@@ -110,6 +122,15 @@
                 self.counts["frames_odd"] += 1
                 self.log.note("odd frame", ip, why=str(odd))
 
+    # ---- what servers look like to the fleet
+
+    def sighted(self, ip, rows, now):
+        """Reports come to the leader alone; what they bear out goes to all, itself too."""
+        if self.lookout.leads and (news := self.register.take(ip, rows, self.pilot.nodes, now)):
+            for start in range(0, len(news), ROWS):
+                for peer in {*self.lookout.peers, self.papers.ip}:
+                    self.send(peer, {"k": "dim", "r": news[start:start + ROWS]})
+
     # ---- the keeper
 
     def tell(self, told):
@@ -154,6 +175,7 @@
         if self.state is not None and state.index <= self.state.index:
             return  # Guards against going back: a late or repeated word changes nothing
         old, self.state = self.state, state
+        self.states.put(state)
         self.lookout.index = state.index
         if state.rev and (old is None or state.rev != old.rev):
             found = charts.read(zlib.decompress(state.body))
@@ -166,23 +188,27 @@
                 self.arm_tide()
             else:
                 self.log.say("configuration unread", revision=state.rev, why=found.err_value)
+        if old is None or old.members != state.members:
+            self.moor()
         if old is None or old.zones != state.zones:
             self.log.say("zones emptied", zones=sorted(state.zones))
             self.pilot.zoned(state.zones)
         if self.lookout.leads:
             self.lookout.spread(self.clock())
 
-    def pack_state(self):
-        return self.state.plain()
+    def pack_state(self, since):
+        return self.states.pack(since)
 
     def got_state(self, plain, now):
-        self.apply(from_plain(plain))
+        if plain[0] > self.lookout.index:
+            self.apply(self.states.read(plain))
 
     def polled(self, servers):
         now, old = self.clock(), self.pilot.servers
         self.counts["lists"] += 1
-        if not self.lookout.leads or old is not None and old.rows == servers.rows:
+        if not self.lookout.leads or old is not None and old.rows == servers.rows and not self.lookout.outrun:
             return
+        self.lookout.outrun = False
         number = max(self.lookout.servers + 1, self.lookout.term * TERM + 1)
         self.serve(replace(servers, number=number))
         self.lookout.spread(now)
@@ -193,20 +219,23 @@
 
     def serve(self, servers):
         self.lookout.servers = servers.number
+        self.lists.put(servers.number, servers.rows)
         self.pilot.listed(servers)
+        self.register.listed((row.id, row.zone) for row in servers.rows)
 
-    def pack_servers(self, now):
-        return platform.pack(self.pilot.servers, now)
+    def pack_servers(self, now, since):
+        return platform.told(self.pilot.servers, now, self.lists, since)
 
     def got_servers(self, plain, now):
-        servers = platform.unpack(plain, now)
-        if not self.lookout.leads and servers.number > self.lookout.servers:
+        servers = platform.heard(plain, now, self.lists, self.lookout.servers)
+        if not self.lookout.leads and servers is not None:
             self.serve(servers)
 
     def got_roster(self):
         count = max(1, sum(row[4] for row in self.lookout.roster))
         self.pilot.counted(count)
         self.gauge.proxies(count)
+        self.moor()
 
     # ---- the word, and what hangs on it
 
@@ -220,18 +249,21 @@
             self.lookout.ready = ready
             self.lookout.next_at = 0
             self.log.say("ready" if ready else "not ready")
-        leader = self.lookout.leader
-        if leader != self.holder:
-            self.holder = leader
-            if leader:
-                self.tide.moved(now)
-                self.arm_tide()
 
     # ---- the tide
 
+    def moor(self):
+        members = [ip for ip, _ in self.state.members.values()] if self.state else []
+        self.say(self.mooring.rank(self.clock(), members, {row[1] for row in self.lookout.roster if row[4]}))
+        self.arm_tide()
+
+    def say(self, adds):
+        for ip, message in adds:
+            self.send(ip, {"k": "add", "m": message})
+
     def arm_tide(self):
         due = self.tide.next_at
-        if self.holder and (not self.tide_at or due < self.tide_at):
+        if self.mooring.at and (not self.tide_at or due < self.tide_at):
             self.tide_at = due = max(due, self.clock() + MS)  # never within this turn: it would not end
             if due < FAR:
                 self.timers.at(due, self.flow, due)
@@ -240,10 +272,8 @@
         if due != self.tide_at:
             return  # an earlier one was set since
         self.tide_at = 0
-        if self.holder:
-            message = self.tide.due(self.clock())
-            if message is not None:
-                self.send(self.holder, {"k": "add", "m": message})
+        if self.mooring.at and (message := self.tide.due(self.clock())) is not None:
+            self.say([(self.mooring.at, message)])
         self.arm_tide()
 
     def overflow(self):
@@ -264,9 +294,12 @@
         self.tell(lt.Tick())
         self.lookout.tick(now)
         self.orders.tick(now)
+        if (rows := self.pilot.glass.due(now)) and self.lookout.leader:
+            self.send(self.lookout.leader, {"k": "sight", "r": rows})
         self.look(now)
         if self.lookout.word_at is not None:
             self.word_ages.note(max(0, now - self.lookout.word_at))
+        self.say(self.mooring.beat(now))
         self.arm_tide()
 
     def sweep(self):
@@ -286,15 +319,18 @@
 
     def start(self):
         self.loop.run_until_complete(self.listen())
-        self.log.say("starts", zone=self.papers.zone, disk=bool(self.keeper), first=self.papers.first)
-        self.tell(None)
-        self.tick()
-        self.sweep()
+        self.begin()
         if self.path:
             self.look_at_file()
         gc.collect()
         gc.freeze()  # what stands from the start on is not looked through again
 
+    def begin(self):
+        self.log.say("starts", zone=self.papers.zone, disk=bool(self.keeper), first=self.papers.first)
+        self.tell(None)
+        self.tick()
+        self.sweep()
+
     def look_at_file(self):
         """The settings may change without a signal (PROTOCOL.md, "The operator")."""
         self.timers.after(LOOK, self.look_at_file)
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -732,21 +732,24 @@
     def send(self, ip, message):
         self.said.append((ip, message))
 
+    def send_all(self, ips, message):
+        self.said += [(ip, message) for ip in ips]
+
     def sweep(self):
         pass
 
 
 @pytest.fixture
-def station(monkeypatch):
+def station():
     """A station without a disk whose loop is a `Quay`."""
-    from rampfront.station import station as module
+    from rampfront.station.ports import Ports
+    from rampfront.station.station import Station
     q = Quay()
     q.add_signal_handler = q.run_in_executor = None
-    monkeypatch.setattr(module, "Clock", lambda: q.clock)
-    monkeypatch.setattr(module, "Wire", Ears)
     q.stopped = []
     q.stop = lambda: q.stopped.append(q.now)
-    made = module.Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3)
+    made = Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3,
+                   ports=Ports(clock=lambda: q.clock, wire=Ears))
     made.gate.server = q
     q.gate, q.pilot, q.station = made.gate, made.pilot, made
     made.tick()
@@ -825,6 +828,33 @@
     assert q.got("d").status == 503
 
 
+def test_a_list_that_an_old_leader_numbered_higher_is_given_anew(station):
+    """The platform says what it said, yet somebody holds another list under a higher number of an older term."""
+    look = station.lookout
+    word(station, 5, servers=(7, ["s1"]))
+    look.rule(True, station.papers.ip, 2, station.clock(), station.clock())
+    same = station.pilot.servers
+    station.polled(same)
+    assert look.servers == 7
+    station.heard("10.1.0.4", {"k": "hail", "n": "n4", "z": "a1", "f": "", "r": True, "i": 5, "s": 8, "o": 0, "t": station.clock()})
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number > 8
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number == (2 << 20) + 1
+
+
+def test_a_holder_without_tenants_says_nothing(station):
+    """A leader that starts again is still named as the holder: as long as it has no configuration it would answer that
+    every tenant is idle, and each pilot would let in a whole quota."""
+    add = {"k": "add", "m": {"l": 7, "s": 1, "a": [["ann", -1, 9, 0, 0]], "w": 1}}
+    station.heard("10.1.0.4", add)
+    assert not [message for _, message in station.wire.said if message["k"] == "sum"]
+    word(station, 5, tenants=[{"Name": "ann", "ApiKeys": ["k"], "PerS": 5, "Burst": 5}])
+    station.heard("10.1.0.4", add)
+    told = [message for ip, message in station.wire.said if ip == "10.1.0.4" and message["k"] == "sum"][-1]
+    assert [row[:3:2] for row in told["m"]["t"]] == [["ann", 9]]
+
+
 def test_odd_words_at_the_station(station):
     """A state whose body is not what its mark says, or a list that cannot be read: nothing of it comes into force."""
     q = station.loop
