--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -37,7 +37,7 @@
         return
     groups, load = {}, {}
     for item in items:  # a slow test goes alone, or with those that it may not stand beside; all others by their files
-        seconds, *beside = mark.args if (mark := item.get_closest_marker("slow")) else (0, item.path.stem)
+        seconds, *beside = (mark.args or (9,)) if (mark := item.get_closest_marker("slow")) else (0, item.path.stem)
         groups[item] = group = beside[0] if beside else item.nodeid.replace("@", " ")
         load[group] = load.get(group, 0) + seconds
         item.add_marker(pytest.mark.xdist_group(group))
--- a/tests/test_lab_system.py
+++ b/tests/test_lab_system.py
@@ -283,7 +283,7 @@
 
 # ---- the whole, once
 
-@pytest.mark.slow
+@pytest.mark.slow(12)
 def test_a_short_run_with_a_cut_a_kill_and_orders_keeps_every_rule(tmp_path):
     told = plan(most_lag_ms=5000.0, base="127.0.0.71", faults=[
         {"target": "node:2", "kind": "cut", "at_s": 1.5, "for_s": 1.0}, {"target": "node:2", "kind": "kill", "at_s": 3.0},
