A fleet that starts again is given its wholes sooner: as many a tick as its size bears

Hails before the first word stay quick for 0.8 s. Rosters that grow go as differences, at a pace of 1 ms a node.

--- a/rampfront/watch/wake.py
+++ b/rampfront/watch/wake.py
@@ -48,7 +48,7 @@
             was, now = set(old), {row[self.key] for row in new}
             gone = [row[self.key] for row in old if row[self.key] not in now]
             rows = [row for row in new if row not in was]
-            self.made[base] = (mark(new, self.width), gone, rows) if 2 * len(rows) + len(gone) <= len(new) else None
+            self.made[base] = (mark(new, self.width), gone, rows) if len(rows) + len(gone) // 2 < len(new) else None
         return self.made[base]
 
     def joined(self, number, base, told, gone, rows):
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -22,8 +22,10 @@
 GONE = 2400 * MS  # a node that the leader has not heard for so long leaves the roster
 TERM = 1 << 20  # numbers of one leader's term
 # Gap of rosters in which nobody left: at most, and for each node they go to. Guards links against one for each that comes.
-PACE, EACH = 400 * MS, MS
-WHOLES, FEW = 16, 4  # that a leader, and another node, gives away in a tick: guards its link against all that start at once
+PACE, EACH = SEC, MS
+# Wholes that a leader gives away in a tick, at most, and for each of ROWS nodes, as they grow with the fleet; and those of another
+# node. Guards links against all that start at once.
+WHOLES, ROWS, FEW = 64, 6000, 8
 ASKED = 2  # hails to the same node of one that never had a word: guards links against the whole from each seed
 UNDER_WAY = 300 * MS  # a whole that was sent so lately is not sent again
 
@@ -92,7 +94,7 @@
         if now < self.next_at:
             return
         calm = self.leads or self.word_at is not None and now - self.answered_at < DEAF
-        gap = BEAT if calm else HURRY if self.word_at is not None else min(TIRED, RUSH << min(8, self.tries // 8))
+        gap = BEAT if calm else HURRY if self.word_at is not None else min(TIRED, RUSH << min(8, self.tries // 16))
         self.tries += 1
         self.next_at = now + int(gap * self.draw.uniform(0.85, 1.15))
         if self.leads:
@@ -148,7 +150,7 @@
             return True
         _, state, listed = self.gave.get(ip, (0, 0, 0))
         under_way = (index or state or not self.index) and (servers or listed or not self.servers)
-        if under_way or self.given >= (WHOLES if self.leads else FEW):
+        if under_way or self.given >= (max(16, min(WHOLES, ROWS // max(1, len(self.roster)))) if self.leads else FEW):
             return False
         self.given += 1
         self.gave[ip] = now, self.index, self.servers
