--- a/rampfront/lab/system/report.py
+++ b/rampfront/lab/system/report.py
@@ -15,6 +15,7 @@
 MS, SEC = 10 ** 6, 10 ** 9
 BIN = 0.5  # s, of the share served
 WELL = 0.9  # of the share before a fault: what counts as back
+LAGS = 5.0  # ms at p99 by which the load may lag in a measurement of speed, for its p99 to be quoted
 CALM = 3  # bins that have to be well in a row
 
 
@@ -246,5 +247,6 @@
         lines.append(f"{row['rate']:6g}   {row['way']:10}  {row['settled_per_s']:8g}  {latency.get('p50', 0):6.2f}  "
                      f"{latency.get('p99', 0):6.2f}  {more.get('p50', 0):9.2f}  {more.get('p99', 0):9.2f}  "
                      f"{row['lag_ms']['p99']:7.2f}  "
-                     f"{', '.join(f'{c:.2f}' for c in cores) or '-'}")
+                     f"{', '.join(f'{c:.2f}' for c in cores) or '-'}"
+                     f"{'  (the tool lagged: no p99)' if row['lag_ms']['p99'] > LAGS else ''}")
     return "\n".join(lines)
