--- a/rampfront/tide/gauge.py
+++ b/rampfront/tide/gauge.py
@@ -17,7 +17,9 @@
 GAP = 100 * MS  # between two unasked tellings
 SHY, LEAN = 0.4, 0.25  # told unasked below so much of the bucket, less so much of the rule's slack
 SPREAD = 0.4  # part of the rule's slack that those in touch may use while few others are missing; none for half of them
+BROUGHT = 0.9  # of its part that a pilot brings: who it left may have given some of it out until it was missed there
 SOON = SEC // 4  # how fast the count of what is asked a second fades
+THIRD, MORE, CALM = 1 / 3, 0.6, 1.5  # see `held_back`
 SLOTS = 20  # of a QuotaWindow, where a tenant without burst is counted by the last so many
 
 
@@ -30,20 +32,21 @@
         self.name, self.quota, self.number = name, quota, now // quota.window
         self.total = self.past = 0
         self.by, self.by_past = {}, {}
-        # Guards against a holder that comes new in a surge: the quota is taken to be used up, and what the pilots then
-        # tell that they had let in counts toward that first. Harm: none to usual load, which is below the rate.
+        # Guards against a holder that comes new in a surge: the quota is taken to be used up, until pilots bring their
+        # parts of it (`arrive`). Harm: none to usual load, which is below the rate.
         self.blank = quota.depth if blank else 0.0
         self.spare, self.spare_at = quota.depth - self.blank, now
-        self.slots = deque(maxlen=SLOTS + 1) if quota.plain else None
+        self.slots = deque() if quota.plain else None
         self.told_at = now - SEC
         self.asked, self.asked_at = 0.0, now
 
 
 class Pilot:
-    __slots__ = ("life", "over", "last", "heard_at", "idle")
+    """`missed_at`: since when its part was not given out here, or will not be, should it say nothing more."""
+    __slots__ = ("life", "over", "last", "heard_at", "idle", "missed_at")
 
     def __init__(self, life, over, now):
-        self.life, self.over, self.last, self.heard_at, self.idle = life, over, 0, now, False
+        self.life, self.over, self.last, self.heard_at, self.idle, self.missed_at = life, over, 0, now, False, -1 << 62
 
 
 class Gauge:
@@ -79,11 +82,15 @@
         self.serving = count
 
     def add(self, now, proxy, message):
-        """Takes in a pilot's adds, once each; returns the answer for it."""
+        """Takes in a pilot's adds, once each; returns the answer for it. None: it only said that it goes."""
         if type(message) is not dict:
             raise ValueError("no message")
+        if "q" in message:  # whether we are there
+            return {"q": whole(message["q"])}
+        if message.get("b"):
+            return self.left(now, proxy, whole(message.get("l")))
         life, number = whole(message.get("l")), whole(message.get("s"), 1)
-        adds, full = rows(message.get("a"), 5), bool(message.get("f"))
+        adds, full = rows(message.get("a"), 5), whole(message.get("f", 0))
         for name, window, grown, before, refused in adds:
             text(name), whole(window, -1, 1 << 62), whole(grown), whole(before), whole(refused)
         pilot = self.pilots.get(text(proxy))
@@ -98,8 +105,11 @@
             for cell in self.cells.values():
                 cell.spare_at = now
         fresh, pilot.heard_at = number > pilot.last, now
+        if fresh and full:
+            self.arrive(pilot, full * MS, now)
         self.survey(now)
         if fresh:
+            pilot.missed_at = now + SILENT
             pilot.last, pilot.idle = number, bool(message.get("z"))
         same, told = message.get("g") == self.life, []
         for name, window, grown, before, refused in adds:
@@ -116,6 +126,30 @@
             self.recall(now, told)
         return answer
 
+    def left(self, now, proxy, life):
+        """A pilot that goes to another holder is missing at once: its even part goes with it. What it told stays."""
+        pilot = self.pilots.get(proxy)
+        if pilot and pilot.life == life:
+            pilot.heard_at, pilot.missed_at, pilot.idle = now - KNOWN, now, False
+            self.looked_at = min(self.looked_at, now - GAP)
+            self.survey(now)
+
+    def arrive(self, pilot, age, now):
+        """A pilot comes from another holder, and tells all that it let in: it brings its even part of each quota, as far
+        as that was not given out here meanwhile. So a new holder that all came to knows what is left, and those that
+        go to and fro bring nothing twice. `age`: ns for which it can tell what it let in; one just started brings nothing."""
+        self.looked_at = min(self.looked_at, now - GAP)
+        self.survey(now)
+        share = BROUGHT / max(self.serving, len(self.pilots)) if self.serving else 0.0
+        away = min(age, now - pilot.missed_at)
+        for cell in self.cells.values() if away > 0 else ():
+            self.level(cell, now)
+            part = cell.quota.depth * share * min(1.0, away / cell.quota.window)
+            if cell.slots is None:
+                cell.spare += part
+            else:
+                cell.blank = max(0.0, cell.blank - part)
+
     def count(self, cell, now, pilot, window, grown, before, left):
         """Of an add that crossed the window's end, what grew belongs to the past one. `left`: of a full add, the weight
         that the past window had where it was counted."""
@@ -134,20 +168,26 @@
         cell.total, cell.past = cell.total + grown, cell.past + before
         left = left if full else 1.0 - now % cell.quota.window / cell.quota.window
         self.level(cell, now)
-        used = grown + before * left
-        if full:  # what was taken to be used at our start is now told
-            known = min(cell.blank, used)
-            used, cell.blank = used - known, cell.blank - known
-        cell.spare -= used
-        if cell.slots is not None and grown + before:
-            slot = now // (cell.quota.window // SLOTS)
-            if cell.slots and cell.slots[-1][0] == slot:
-                cell.slots[-1][1] += grown + before
-            else:
-                cell.slots.append([slot, grown + before])
+        if cell.slots is not None:
+            self.slot(cell, now, now, grown if full else grown + before)
+            if full:  # the pilot's past window ended so long ago, by its own windows
+                self.slot(cell, now, now - int((1.0 - min(1.0, left)) * cell.quota.window), before)
+        cell.spare -= grown + before * left
         if grown or before:
             self.news[cell.name] = cell
 
+    def slot(self, cell, now, at, amount):
+        """Counts what was let in up to the moment `at`."""
+        if amount:
+            slot, slots = at // (cell.quota.window // SLOTS), cell.slots
+            while slots and slots[0][0] < now // (cell.quota.window // SLOTS) - SLOTS:
+                slots.popleft()
+            place = next((i for i, (known, _) in enumerate(slots) if known >= slot), len(slots))
+            if place < len(slots) and slots[place][0] == slot:
+                slots[place][1] += amount
+            else:
+                slots.insert(place, [slot, amount])
+
     def demand(self, cell, now, asked=0):
         """Requests a second of all pilots, refused ones too: it fades, so it follows a surge at once."""
         cell.asked *= exp((cell.asked_at - now) / SOON)
@@ -164,16 +204,26 @@
     def level(self, cell, now):
         """What the quota has left: a bucket's level. Without burst: the limit less the last QuotaWindow's count."""
         quota, part = cell.quota, self.part(cell.quota)
-        gain = quota.per_s * (now - cell.spare_at) / SEC
-        cell.blank = max(0.0, cell.blank - gain)
         if cell.slots is None:
+            gain = quota.per_s * (now - cell.spare_at) / SEC
             cell.spare = min(quota.depth * part, cell.spare + gain * part)
         else:
             first = now // (quota.window // SLOTS) - SLOTS
-            cell.spare = quota.limit * part - sum(n for slot, n in cell.slots if slot >= first) - cell.blank
+            if cell.blank and self.born is not None and now - self.born >= quota.window:
+                cell.blank = 0.0
+            used = sum(n for slot, n in cell.slots if slot >= first)
+            cell.spare = quota.limit * part - used - cell.blank - self.held_back(cell, now)
         cell.spare_at = now
         return cell.spare
 
+    def held_back(self, cell, now):
+        """Guards against a surge without a burst that lets in the whole QuotaWindow's quota on one side within the second
+        in which those cut off are not yet missed: of what comes faster than the rate, what a THIRD of the pilots may let
+        in meanwhile waits for a second, beyond MORE of the slack. Usual load does not notice."""
+        quota, first = cell.quota, (now - SILENT) // (cell.quota.window // SLOTS)
+        fast = sum(n for slot, n in cell.slots if slot >= first) - CALM * quota.per_s * SILENT / SEC
+        return max(0.0, min(fast, THIRD * quota.limit - MORE * quota.slack))
+
     def part(self, quota):
         """The part of a quota that those in touch may use: less the even parts of those missing, which may go on."""
         if not self.missing:
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -78,6 +78,8 @@
         self.roster = ()  # rows of the last roster
         self.peers = {}  # by ip: what the leader hears; emptied as they fall silent
         self.asked_at, self.answered_at, self.next_at = 0, 0, 0
+        self.life = draw.getrandbits(24)  # goes with each question, and comes back with its answer
+        self.outrun = False  # somebody holds a list of servers that an older leader numbered above ours
         self.turn, self.asked = 0, None  # of those whom it asks beside the leader
         self.rosters, self.roster_at = Wake(1, 5), 0  # versions of the roster; when the leader made the last
         self.tries, self.given, self.gave = 0, 0, {}  # hails; wholes given away in this tick, and lately to whom
@@ -109,7 +111,7 @@
         index, servers, number = [0 if key in self.astray else held for key, held in
                                   zip("SVO", (self.index, self.servers, self.number))]
         return {"k": "hail", "n": self.me, "z": self.zone, "f": self.front, "r": self.ready, "i": index,
-                "s": servers, "o": number, "t": now}
+                "s": servers, "o": number, "t": now, "b": self.life}
 
     def other(self):
         """Seeds and known nodes in turn; None for one that knows nobody."""
@@ -138,11 +140,21 @@
                 # Guards the roster against a late hail of a node that has said since that it leaves.
                 peer.name, peer.zone, peer.front, peer.ready = name, zone, front, bool(told["r"])
                 peer.heard, peer.asked, peer.index, peer.servers, peer.roster = now, asked, index, servers, number
+            first = self.term * TERM + 1
+            # Guards against what an old leader numbered when another led already: whoever took it would keep it.
+            self.outrun = self.outrun or self.servers < servers < first
+            if self.number < number < first:
+                self.number = first
+                self.rosters.put(first, self.roster)
+                self.spread(now)
             if was and not peer.ready:
                 self.look(now)  # who leaves is left out at once; who came waits for a tick, with others
         if not self.gives(ip, now, index, servers):
             return  # it asks again
-        self.send(ip, self.word(now, index, servers, number, asked))
+        word = self.word(now, index, servers, number, asked)
+        if "b" in told:
+            word["b"] = whole(told["b"])
+        self.send(ip, word)
 
     def gives(self, ip, now, index, servers):
         """Whether the word may go to one that holds these: state or list is given whole to few at a time, once each."""
@@ -189,7 +201,8 @@
         if self.leads or not held:
             return
         asked, leader, term = whole(told["t"]), text(told["l"]), whole(told["e"])
-        if asked and "a" in told and asked <= now:
+        # Guards against an answer to the life before, which held more than this one: it says nothing of what we lack.
+        if asked and "a" in told and asked <= now and told.get("b", self.life) == self.life:
             at = asked - whole(told["a"])
             if self.word_at is None or at > self.word_at:
                 self.word_at = at
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -2,11 +2,12 @@
 
 import json
 import zlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
-from quay import SEC, Quay, Quota, Silent, orders, rule, settings
+from quay import MS, SEC, Quay, Quota, Silent, orders, rule, settings
 from rampfront.chart import chart as charts, papers as papers_of
 from rampfront.lighthouse.state import State, digest
 from rampfront.watch import platform
@@ -739,16 +740,16 @@
 
 
 @pytest.fixture
-def station(monkeypatch):
+def station():
     """A station without a disk whose loop is a `Quay`."""
-    from rampfront.station import station as module
+    from rampfront.station.ports import Ports
+    from rampfront.station.station import Station
     q = Quay()
     q.add_signal_handler = q.run_in_executor = None
-    monkeypatch.setattr(module, "Clock", lambda: q.clock)
-    monkeypatch.setattr(module, "Wire", Ears)
     q.stopped = []
     q.stop = lambda: q.stopped.append(q.now)
-    made = module.Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3)
+    made = Station(q, papers_of.read(settings(Grace="6s", RevokeWithin="5s")).ok_value, Silent(), 3,
+                   ports=Ports(clock=lambda: q.clock, wire=Ears))
     made.gate.server = q
     q.gate, q.pilot, q.station = made.gate, made.pilot, made
     made.tick()
@@ -772,6 +773,22 @@
     station.heard(LEADER, message)
 
 
+def test_what_operators_count_on_is_counted(station):
+    """Rounds of the platform's list that bring none; ages of the word, of ten looks a second; requests and answers."""
+    q = station.loop
+    made = type(station)(q, replace(station.papers, platform=("10.9.9.9", 80)), Silent(), 3)
+    made.poller.on_drop("status 429")
+    assert made.counts["lists_failed"] == 1 and not sum(made.word_ages.counts)
+    word(station, 1, servers=(1, ["s1"]))
+    q.wait(1000)
+    assert sum(station.word_ages.counts) in (10, 11) and station.word_ages.counts[-1] == 0
+    q.ask()
+    q.wait(30)
+    q.reply()
+    assert station.pilot.requests.counts[5] == station.pilot.answers.counts[5] == 1  # 25 to 50 ms
+    assert sum(station.pilot.requests.counts) == 1 and 30 * MS <= station.pilot.answers.total <= station.pilot.requests.total
+
+
 def test_the_lease(station):
     """Without a word for as long as `RevokeWithin` allows, less what is on its way by then: 503 here, not ready, and no key
     acts; with the next word it goes on."""
@@ -811,6 +828,33 @@
     assert q.got("d").status == 503
 
 
+def test_a_list_that_an_old_leader_numbered_higher_is_given_anew(station):
+    """The platform says what it said, yet somebody holds another list under a higher number of an older term."""
+    look = station.lookout
+    word(station, 5, servers=(7, ["s1"]))
+    look.rule(True, station.papers.ip, 2, station.clock(), station.clock())
+    same = station.pilot.servers
+    station.polled(same)
+    assert look.servers == 7
+    station.heard("10.1.0.4", {"k": "hail", "n": "n4", "z": "a1", "f": "", "r": True, "i": 5, "s": 8, "o": 0, "t": station.clock()})
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number > 8
+    station.polled(same)
+    assert look.servers == station.pilot.servers.number == (2 << 20) + 1
+
+
+def test_a_holder_without_tenants_says_nothing(station):
+    """A leader that starts again is still named as the holder: as long as it has no configuration it would answer that
+    every tenant is idle, and each pilot would let in a whole quota."""
+    add = {"k": "add", "m": {"l": 7, "s": 1, "a": [["ann", -1, 9, 0, 0]], "w": 1}}
+    station.heard("10.1.0.4", add)
+    assert not [message for _, message in station.wire.said if message["k"] == "sum"]
+    word(station, 5, tenants=[{"Name": "ann", "ApiKeys": ["k"], "PerS": 5, "Burst": 5}])
+    station.heard("10.1.0.4", add)
+    told = [message for ip, message in station.wire.said if ip == "10.1.0.4" and message["k"] == "sum"][-1]
+    assert [row[:3:2] for row in told["m"]["t"]] == [["ann", 9]]
+
+
 def test_odd_words_at_the_station(station):
     """A state whose body is not what its mark says, or a list that cannot be read: nothing of it comes into force."""
     q = station.loop
