--- a/rampfront/lighthouse/state.py
+++ b/rampfront/lighthouse/state.py
@@ -24,10 +24,10 @@
     rev: int = 0  # number of the newest configuration; 0: none yet
     body: bytes = b""  # as the operator sent it, compressed
     zones: frozenset = frozenset()  # that are being emptied
-    held: tuple = ()  # zones once for each EMPTY that was answered, in order
     members: dict = None
     base: dict = None
     mark: bytes = b""  # digest of the body
+    held: tuple = ()  # zones once for each EMPTY that was answered, in order
 
     @property
     def stamp(self):
@@ -101,7 +101,7 @@
             return None
     elif digest(body) != mark:
         raise Odd("body is not what its mark says")
-    return State(index, term, rev, body, frozenset(zones), tuple(held), members, base, mark)
+    return State(index, term, rev, body, frozenset(zones), members, base, mark, tuple(held))
 
 
 def addresses(state):
