--- a/tests/test_voyage.py
+++ b/tests/test_voyage.py
@@ -27,6 +27,9 @@
     # A node that started again took the answer to its former life's question for its own.
     1129: [(6759, "kill_all", 53106, 890), (7865, "freeze", -1, 3049), (10134, "bad_links", 0.2, 0.5, 300, 2883),
            (10425, "cut_zone", "a2", 6465), (10724, "config", True), (11170, "kill_all", 14859, 174)],
+    # Cut from the holder as a tenant's second surge begins: each pilot went by a full reading until it found that out.
+    50023: [(6385, "surge", "hot", 4500), (6503, "surge", "hot", 3447), (6531, "cut_in_two", (2, 3, 5, 10), False, 6000),
+            (7004, "zone", "a1", 2134)],
 }
 
 
