A server that forgets idle connections costs a pilot one request that may run once, not one after another

Change: it falls to an eighth of what was found forgotten at once, and is trusted again after 5 s without another.

--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -16,6 +16,7 @@
 KEEPS = re.compile(rb"(?:^|timeout\s*=\s*)(\d{1,5})")  # a server's `Keep-Alive`
 AT_ONCE = 150 * MS  # a connection that ends so soon behind a request, without a byte, had been forgotten
 RESTED = 250 * MS  # one that rested no longer than this is always used again
+SPELL = 5 * SEC  # without another one found forgotten, connections are trusted again
 EARLY = 300 * MS  # an idle connection is closed so long before its server would: the way there, and the next look at it
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
                  b"content-length", b"proxy-authenticate", b"proxy-authorization"))  # concern one connection alone
@@ -138,20 +139,24 @@
         super().__init__(loop, desk, bounds, False, log)
         self.loads, self.gone, self.glass, self.answers = loads, gone, glass, answers
         self.rest_most = bounds.link_idle  # how long a connection may have rested to carry what may run only once
+        self.doubted_at = 0  # when a connection was last found forgotten
         self.probe_text = b"GET %s HTTP/1.1\r\nHost: health\r\n\r\n" % health
 
     def submit(self, exchange, attempt, index, allow):
         if exchange.once and (target := self.targets.get(index)):
             # Guards what may run once only against a connection that its server has forgotten: it could not be sent again.
             now = self.clock()
+            if now - self.doubted_at > SPELL:
+                self.rest_most = self.bounds.link_idle
             while target.idle and now - target.idle[-1].since > self.rest_most:
                 target.idle[-1].close()
         super().submit(exchange, attempt, index, allow)
 
     def forgotten(self, rested, took):
-        """A kept connection ended under a request at once: from now on, those that rested so long are not trusted."""
+        """A kept connection ended under a request at once: for a while, those that rested a fraction of that are not trusted.
+        One is enough: servers forget at a bound of theirs that lies anywhere below, and each try at it may lose a request."""
         if took < AT_ONCE:
-            self.rest_most = max(RESTED, min(self.rest_most, rested * 3 // 4))
+            self.rest_most, self.doubted_at = max(RESTED, min(self.rest_most, rested // 8)), self.clock()
 
     def loaded(self, target, text):
         parts = text.split(b",")
--- a/tests/test_pilot.py
+++ b/tests/test_pilot.py
@@ -436,7 +436,7 @@
     q.ask(WRITE, tag="t2")
     reset(q)
     assert q.got().status == 502 and q.log.counts["connects"] == 1
-    for tag, rest, connects in (("t3", 0, 2), ("t4", 2000, 2), ("t5", 2500, 3)):
+    for tag, rest, connects in (("t3", 0, 2), ("t4", 300, 2), ("t5", 500, 3), ("t6", 2000, 4), ("t7", 5500, 4)):  # and is, later
         q.wait(rest)
         q.ask(WRITE, tag=tag)
         q.reply(tag=tag)
