--- a/rampfront/lab/system/clients.py
+++ b/rampfront/lab/system/clients.py
@@ -10,7 +10,6 @@
 import json
 import re
 import time
-from collections import Counter
 from random import Random
 
 import numpy as np
--- a/rampfront/model/ashore.py
+++ b/rampfront/model/ashore.py
@@ -33,7 +33,7 @@
         """A whole request, as it came off its connection."""
         if not self.up:
             return
-        shore, (head, _, body) = self.shore, data.partition(b"\r\n\r\n")
+        shore, head = self.shore, data.partition(b"\r\n\r\n")[0]
         lines = head.split(b"\r\n")
         fields = {}
         for line in lines[1:]:
--- a/rampfront/model/tides.py
+++ b/rampfront/model/tides.py
@@ -14,7 +14,7 @@
 
 from cbor2 import dumps, loads
 
-from ..tide import tide, words
+from ..tide import words
 from ..tide.gauge import Gauge
 from ..tide.mooring import Mooring
 from ..tide.tide import Tide
--- a/rampfront/model/voyage.py
+++ b/rampfront/model/voyage.py
@@ -647,7 +647,7 @@
 
     def settle(self):
         """All faults are over: an order is acknowledged, all know what holds, and the fleet serves."""
-        fleet, chance = self.fleet, self.chance
+        fleet = self.fleet
         self.trap, self.calm = None, True
         fleet.note("calm")
         fleet.mend([pair for pair, count in list(fleet.cuts.items()) for _ in range(count)])
--- a/rampfront/station/station.py
+++ b/rampfront/station/station.py
@@ -127,9 +127,9 @@
     def sighted(self, ip, rows, now):
         """Reports come to the leader alone; what they bear out goes to all, itself too."""
         if self.lookout.leads and (news := self.register.take(ip, rows, self.pilot.nodes, now)):
+            all_ips = list(dict.fromkeys((self.papers.ip, *self.lookout.peers)))
             for start in range(0, len(news), ROWS):
-                for peer in {*self.lookout.peers, self.papers.ip}:
-                    self.send(peer, {"k": "dim", "r": news[start:start + ROWS]})
+                self.send_all(all_ips, {"k": "dim", "r": news[start:start + ROWS]})
 
     # ---- the keeper
 
