A state machine for the swap of what nodes hold by differences

Need: differences against versions that two leaders may have numbered alike, told late, twice and out of order, were tested by hand alone. Change: hypothesis plays a leader, another one, a node that starts again; what is held is always a whole that a leader made.

--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -5,7 +5,8 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule as step
 
 from quay import MS, SEC, Nodes, orders, rule
 from rampfront.lighthouse.state import State, digest
@@ -194,3 +195,66 @@
     n[1].tick(n.now)
     n[1].on_hail("10.0.0.2", hail, n.now)
     assert {"S", "V"} <= set(sent[-1][4])
+
+
+class Swap(RuleBasedStateMachine):
+    """A leader's rows as they change, and a node that is told of them late, twice, out of order or not at all, by differences
+    against whatever it held: what it holds is always a whole that some leader made, under that number, and never an older one."""
+
+    @initialize()
+    def begin(self):
+        self.number, self.rows, self.leader, self.told = 1, (("a", 1),), Wake(0, 2), []
+        self.made = {}
+        self.put()
+        self.held, self.wake = (0, ()), Wake(0, 2)
+
+    def put(self):
+        self.leader.put(self.number, self.rows)
+        self.made.setdefault(self.number, set()).add(self.rows)
+
+    @step(name=st.sampled_from("abcdefgh"), value=st.integers(0, 3), by=st.integers(1, 3))
+    def changes(self, name, value, by):
+        rows = {row[0]: row for row in self.rows}
+        rows.pop(name, None) if value == 0 else rows.update({name: (name, value)})
+        self.number, self.rows = self.number + by, tuple(sorted(rows.values()))
+        self.put()
+
+    @step(number=st.integers(0, 40))
+    def another_leads(self, number):
+        """It numbers from where it stood, may use a number that the other one used, and knows no older versions."""
+        self.number, self.leader = max(1, self.number - number), Wake(0, 2)
+        self.rows = (("z", number),)
+        self.put()
+
+    @step(back=st.integers(0, 3))
+    def tells(self, back):
+        held = max(0, self.held[0] - back)
+        since = self.leader.since(held)
+        self.told.append((self.number, held, since) if since else (self.number, None, self.rows))
+
+    @step(which=st.integers(0, 50))
+    def hears(self, which):
+        if not self.told:
+            return
+        number, base, told = self.told[which % len(self.told)]
+        if number <= self.held[0]:
+            return
+        try:
+            whole = told if base is None else self.wake.joined(self.held[0], base, *told)
+        except Gap:
+            return
+        self.held = number, whole
+        self.wake.put(number, whole)
+
+    @step()
+    def starts_again(self):
+        self.held, self.wake = (0, ()), Wake(0, 2)
+
+    @invariant()
+    def it_holds_a_whole_that_was_made(self):
+        number, whole = self.held
+        assert not number or whole in self.made[number]
+
+
+Swap.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
+TestSwap = Swap.TestCase
