--- a/rampfront/pilot/haul.py
+++ b/rampfront/pilot/haul.py
@@ -70,10 +70,10 @@
             self.fields.append((name, value))
 
     def begin(self, exchange, attempt, allow):
-        pool = self.pool
-        self.rested = pool.clock() - self.since if self.state == IDLE else None
+        pool, now = self.pool, self.pool.clock()
+        self.rested = now - self.since if self.state == IDLE else None
         if exchange:
-            self.ref = pool.glass.sent(self.target.uid, pool.desk.node.lines[exchange.product].mean, pool.clock())
+            self.ref = pool.glass.sent(self.target.uid, pool.desk.node.lines[exchange.product].mean, now)
         super().begin(exchange, attempt, allow)
 
     def connection_lost(self, trouble):
--- a/rampfront/watch/word.py
+++ b/rampfront/watch/word.py
@@ -77,7 +77,7 @@
         self.index = self.servers = self.number = 0  # of what we hold: state, servers, roster
         self.roster = ()  # rows of the last roster
         self.peers = {}  # by ip: what the leader hears; emptied as they fall silent
-        self.asked_at, self.answered_at, self.next_at = 0, 0, 0
+        self.answered_at, self.next_at = 0, 0
         self.life = draw.getrandbits(24)  # goes with each question, and comes back with its answer
         self.outrun = False  # somebody holds a list of servers that an older leader numbered above ours
         self.turn, self.asked = 0, None  # of those whom it asks beside the leader
