Evacuations: a repeat is told from a second operator by what became of the answer

Cause: whether an order to evacuate repeats the one before was decided by time alone (7 s). Two operators within 7 s of each other lost the zone 7 s behind the first return, and one whose answer was lost waited 7 s for his return to count.

Change: the node that answers an order on a zone sees how its connection ends (further request, end of stream with all bytes acknowledged, or reset) and reports that to the leader, who keeps each order as a claim in the replicated state, beside the entry in frames and records, so members of before read both. A lost answer's claim is taken by the next order or dropped; a delivered one counts on its own, unless the next order follows within 0.5 s (a program may lose what its machine has taken, and repeats at once). Time decides only where nothing is known. An order named by its caller (key=...) is known by that name.

--- a/rampfront/consensus/entry_receiver.py
+++ b/rampfront/consensus/entry_receiver.py
@@ -25,7 +25,7 @@
         return None
     if state.term != message.term:
         raise RemoteProtocolError("an entry of another term")
-    return state.with_versions(versions)
+    return state.with_claims(message.claims).with_versions(versions)
 
 
 def _received_versions(known: list[State], message: AppendEntry) -> VersionHistory | None:
--- a/rampfront/consensus/events.py
+++ b/rampfront/consensus/events.py
@@ -19,6 +19,8 @@
     EVACUATE = "empty"  # a zone is to be evacuated
     RESTORE = "fill"  # an evacuated zone is to be taken back
     READ = "read"  # the committed state is wanted
+    ANSWER_DELIVERED = "got"  # an order on a zone: its caller has read the answer
+    ANSWER_LOST = "lost"  # an order on a zone: its caller never read the answer
 
 
 class Outcome(StrEnum):
@@ -56,12 +58,15 @@
 class Order:
     """An operator's order. `ref` is the caller's, and comes back with `OrderEnded`.
 
-    `body`: (revision, compressed bytes) of a configuration, the name of a zone, or None for a read; unchecked.
+    `body`: (revision, compressed bytes) of a configuration, the name of a zone, (zone, identity of the order) of a
+    report on an answer, or None for a read; unchecked. `identity`: of an order on a zone, by which reports name it; 0
+    for an older node's.
     """
 
     ref: object
     kind: str
     body: object = None
+    identity: int = 0
 
 
 @slotted
--- a/rampfront/consensus/frame_decoder.py
+++ b/rampfront/consensus/frame_decoder.py
@@ -146,6 +146,7 @@
         frame[wire.COMMIT_INDEX],
         frame[wire.ENTRY],
         frame.get(wire.VERSIONS),
+        frame.get(wire.CLAIMS),
     )
 
 
@@ -207,6 +208,7 @@
     wire.SENDER_INCARNATION: _is_number,
     wire.SENDER_NAME: _is_name,
     wire.VERSIONS: _is_list,
+    wire.CLAIMS: _is_list,
 }
 
 
--- a/rampfront/consensus/frame_encoder.py
+++ b/rampfront/consensus/frame_encoder.py
@@ -116,6 +116,8 @@
     frame[wire.ENTRY] = message.entry
     if message.versions is not None:
         frame[wire.VERSIONS] = message.versions
+    if message.claims is not None:
+        frame[wire.CLAIMS] = message.claims
     return frame
 
 
--- a/rampfront/consensus/messages.py
+++ b/rampfront/consensus/messages.py
@@ -101,6 +101,7 @@
     commit_index: LogIndex
     entry: list[object]  # an encoded `State`, with its body, a delta in its place, or without it
     versions: list[object] | None = None  # an encoded `VersionDelta`; None from an older leader
+    claims: list[object] | None = None  # on evacuated zones, encoded; None if there are none, or from an older leader
 
 
 class AppendAcknowledged(NamedTuple):
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -12,7 +12,8 @@
 
 from rampfront.terms import slotted
 
-from .evacuations import ZoneChange, evacuate, reopen, restore
+from .evacuation_claims import IDENTITY_LIMIT
+from .evacuations import ZoneChange, evacuate, note_delivered, note_lost, reopen, restore
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
 from .repeat_window import RepeatWindow
@@ -30,21 +31,30 @@
     content: bytes  # its digest
 
 
+class AnswerReport(NamedTuple):
+    """The body of a report on the answer to an order on a zone."""
+
+    zone: str
+    identity: int  # of that order
+
+
 @slotted
 class PendingOrder:
     """An order that the leader has not answered yet.
 
-    `change`: the checked body: a configuration, the name of a zone, or None for a read. `entry_index`: of the entry
-    that carries it, or 0. `round`: that must be confirmed first, or 0. `outcome`: what it is answered then.
+    `change`: the checked body: a configuration, the name of a zone, a report on an answer, or None for a read.
+    `entry_index`: of the entry that carries it, or 0. `round`: that must be confirmed first, or 0. `outcome`: what it
+    is answered then. `identity`: of an order on a zone, or 0.
     """
 
     ref: object
     kind: OrderKind
-    change: Configuration | str | None
+    change: Configuration | AnswerReport | str | None
     received_at: TimeNs
     entry_index: LogIndex = 0
     round: RoundNumber = 0
     outcome: Outcome = Outcome.DONE
+    identity: int = 0
 
     @property
     def is_taken_up(self) -> bool:
@@ -77,19 +87,27 @@
             configuration = _configuration(body)
             return PendingOrder(order.ref, OrderKind.CONFIGURE, configuration, now) if configuration else None
         case OrderKind.EVACUATE | OrderKind.RESTORE:
-            kind = OrderKind(order.kind)
-            if type(body) is not str or not 0 < len(body) <= MAX_ZONE_LETTERS:
-                return None
-            is_new = kind is OrderKind.EVACUATE and body not in entry.evacuated_zones
-            if is_new and len(entry.evacuated_zones) >= MAX_EVACUATED_ZONES:
-                return None
-            return PendingOrder(order.ref, kind, body, now)
+            return _zone_order(order, entry, now)
+        case OrderKind.ANSWER_DELIVERED | OrderKind.ANSWER_LOST:
+            report = _answer_report(body)
+            return PendingOrder(order.ref, OrderKind(order.kind), report, now) if report else None
         case OrderKind.READ:
             return PendingOrder(order.ref, OrderKind.READ, None, now)
         case _:
             return None
 
 
+def _zone_order(order: Order, entry: State, now: TimeNs) -> PendingOrder | None:
+    """The checked order on a zone; None if it names none, or one too many."""
+    zone, kind = order.body, OrderKind(order.kind)
+    if type(zone) is not str or not 0 < len(zone) <= MAX_ZONE_LETTERS:
+        return None
+    is_new = kind is OrderKind.EVACUATE and zone not in entry.evacuated_zones
+    if is_new and len(entry.evacuated_zones) >= MAX_EVACUATED_ZONES:
+        return None
+    return PendingOrder(order.ref, kind, zone, now, identity=_identity(order.identity))
+
+
 def _configuration(body: object) -> Configuration | None:
     """The checked body of an order to configure."""
     match body:
@@ -99,6 +117,19 @@
     return None
 
 
+def _identity(identity: object) -> int:
+    """The checked identity; 0 for one that cannot be."""
+    return identity if type(identity) is int and 0 < identity < IDENTITY_LIMIT else 0
+
+
+def _answer_report(body: object) -> AnswerReport | None:
+    """The checked body of a report on an answer."""
+    match body:
+        case [str() as zone, identity] if 0 < len(zone) <= MAX_ZONE_LETTERS and _identity(identity):
+            return AnswerReport(zone, _identity(identity))
+    return None
+
+
 class OrderApplication:
     """Applies orders to states, at one leader."""
 
@@ -120,25 +151,44 @@
             return _configured(state, change)
         if change is None:
             return state
+        if isinstance(change, AnswerReport):
+            return _with_zones(state, self._reported(state, order.kind, change, now))
+        return _with_zones(state, self._zone_change(state, order, change, now))
+
+    def _zone_change(self, state: State, order: PendingOrder, zone: str, now: TimeNs) -> ZoneChange:
+        """What an order to evacuate or to restore a zone changes."""
+        zones, evacuations, window = state.evacuated_zones, state.evacuations, self._repeat_window
         if order.kind is OrderKind.EVACUATE:
-            may_be_repeat = self._repeat_window.evacuation_may_be_repeat(change, now)
-            changed = evacuate(state.evacuated_zones, state.evacuations, change, may_be_repeat)
-        else:
-            may_be_repeat = self._repeat_window.restoration_may_be_repeat(change, now)
-            changed = restore(state.evacuated_zones, state.evacuations, change, may_be_repeat)
-        return _with_zones(state, changed)
+            may_be_repeat = window.evacuation_may_be_repeat(evacuations, zone, order.identity, now)
+            return evacuate(zones, evacuations, zone, may_be_repeat, order.identity)
+        if window.is_known_repeat(zone, order.identity):
+            return ZoneChange(zones, evacuations)
+        may_be_repeat = window.restoration_may_be_repeat(zone, order.identity, now)
+        return restore(zones, evacuations, zone, may_be_repeat)
+
+    def _reported(self, state: State, kind: OrderKind, report: AnswerReport, now: TimeNs) -> ZoneChange:
+        """What follows from the fate of an answer."""
+        zones, evacuations = state.evacuated_zones, state.evacuations
+        if kind is OrderKind.ANSWER_LOST:
+            return note_lost(zones, evacuations, report.zone, report.identity)
+        was_followed = self._repeat_window.was_evacuated_at_once(report.zone, now)
+        return ZoneChange(zones, note_delivered(evacuations, report.zone, report.identity, was_followed))
 
     def note(self, order: PendingOrder, before: State, after: State, now: TimeNs) -> None:
         """An order is taken, which makes one state of another; repeats are known by that."""
-        zone = order.change
-        if not isinstance(zone, str):
+        change, window = order.change, self._repeat_window
+        if isinstance(change, AnswerReport):
+            if order.kind is OrderKind.ANSWER_DELIVERED:
+                window.note_delivered(after.evacuations, change.zone, change.identity, now)
+            return
+        if not isinstance(change, str):
             return
-        if zone not in after.evacuated_zones:
-            self._repeat_window.forget(zone)
+        if order.kind is OrderKind.RESTORE and after is not before:
+            window.note_restoration(change, order.identity, now)
+        if change not in after.evacuated_zones:
+            window.forget(change)
         elif order.kind is OrderKind.EVACUATE:
-            self._repeat_window.note_evacuation(zone, now)
-        elif after is not before:
-            self._repeat_window.note_restoration(zone, now)
+            window.note_evacuation(change, now)
 
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """As many of the orders as may share one entry, carried out in turn."""
--- a/rampfront/consensus/record.py
+++ b/rampfront/consensus/record.py
@@ -1,6 +1,6 @@
 """The form of a member's record on disk: what it must not forget (Raft paper, figure 2, "persistent state").
 
-A record is a list of columns, as cbor2 carries it. Older records lack the last one or two. `PersistentState` encodes a
+A record is a list of columns, as cbor2 carries it. Older records lack the last ones. `PersistentState` encodes a
 record with every change, and decodes one at a start.
 """
 
@@ -47,6 +47,9 @@
         entry.versions.encode() if entry else b"",
         record.owner,
     ]
+    claims = entry.encode_claims() if entry else None
+    if claims is not None:
+        columns.append(claims)
     return cbor2.dumps(columns)
 
 
@@ -61,30 +64,34 @@
         raise RecordError("record that does not read") from None
     match columns:
         case [form, incarnation, term, vote, committed, row, member_ips, *optional]:
-            pass
+            absent = [None, owner, None][len(optional) :]  # the last columns, of an older record
+            last_columns = optional + absent
         case _:
             raise RecordError("record that does not read")
     if form != FORM:
         raise RecordError("record of another form")
-    if len(optional) > 1 and optional[1] != owner:
-        raise RecordError(f"record of {str(optional[1])[:MAX_OWNER_LETTERS]}")
+    stored_owner = last_columns[1]
+    if stored_owner != owner:
+        raise RecordError(f"record of {str(stored_owner)[:MAX_OWNER_LETTERS]}")
     return Record(
         incarnation,
         term,
         MemberKey(*vote) if vote else None,
         LogPosition(*committed) if committed else None,
-        _decode_entry(row, optional[0] if optional else None),
+        _decode_entry(row, last_columns[0], last_columns[2]),
         member_ips,
         owner,
     )
 
 
-def _decode_entry(row: object, versions: object) -> State | None:
-    """The stored entry. `versions`: its encoded history; None in an older record. Raises RecordError."""
+def _decode_entry(row: object, versions: object, claims: object) -> State | None:
+    """The stored entry. `versions`: its encoded history; None in an older record. `claims`: those on evacuated zones;
+    None if there are none. Raises RecordError."""
     if not row:
         return None
     try:
         entry = decode_state(row)
+        entry = None if entry is None else entry.with_claims(claims)
         history = VersionHistory() if versions is None else decode_history(versions)
     except RemoteProtocolError as error:
         raise RecordError(str(error)) from error
--- a/rampfront/consensus/replication.py
+++ b/rampfront/consensus/replication.py
@@ -132,6 +132,7 @@
             self.commit_index,
             row,
             versions.encode(),
+            entry.encode_claims(),
         )
         self._context.send(replica.ip, message)
 
--- a/rampfront/consensus/state.py
+++ b/rampfront/consensus/state.py
@@ -11,7 +11,8 @@
 from typing import TypedDict, Unpack
 
 from .errors import RemoteProtocolError
-from .evacuations import EvacuationTable, decode_evacuations, encode_evacuations
+from .evacuation_claims import decode_claims, encode_claims
+from .evacuations import EvacuationTable, claim_table, decode_evacuations, encode_evacuations, with_claims
 from .identifiers import LogIndex, LogPosition, MemberAddress, MemberList, Term
 from .version_history import VersionHistory, content_digest
 
@@ -84,6 +85,21 @@
             versions = versions.with_version(self.revision, content_digest(self.body))
         return replace(self, versions=versions)
 
+    def with_claims(self, rows: object) -> "State":
+        """The same entry with its claims on evacuated zones, as `encode_claims` has them.
+
+        Raises RemoteProtocolError for what that does not make.
+        """
+        if rows is None:
+            return self
+        table = with_claims(self.evacuated_zones, self.evacuations, decode_claims(rows))
+        return replace(self, evacuations=table)
+
+    def encode_claims(self) -> list[object] | None:
+        """The claims as cbor2 carries them, beside the encoded state: members alone need them. None without any."""
+        table = claim_table(self.evacuations)
+        return [*encode_claims(table)] if table else None
+
     def all_members(self) -> MemberList:
         """All whose votes may count; those of `members` go first."""
         return self.members if self.previous_members is None else {**self.previous_members, **self.members}
--- a/rampfront/consensus/wire_names.py
+++ b/rampfront/consensus/wire_names.py
@@ -22,6 +22,7 @@
 ENTRY = "x"  # of an AppendEntry
 PASSWORD = "x"  # of a JoinRequest or a LeaderHint
 VERSIONS = "v"
+CLAIMS = "w"
 LEADER_IP = "l"
 MEMBER_IPS = "m"
 IS_EXCLUDED = "o"
--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -1,7 +1,9 @@
 """Requests and responses as handlers of the HTTP server see them."""
 
 import json
-from typing import NamedTuple, Protocol
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, Protocol, TypeAlias
 
 from .http_status import BAD_REQUEST, HttpStatusError
 
@@ -31,6 +33,17 @@
     return json_response({"Message": message}, status, headers)
 
 
+class Delivery(Enum):
+    """What became of a response."""
+
+    UNKNOWN = "unknown"  # its connection ended before that could be told
+    DELIVERED = "delivered"  # the sender of the request has all of it
+    LOST = "lost"  # the sender of the request has not got all of it
+
+
+DeliveryCallback: TypeAlias = Callable[[Delivery], None]  # called once
+
+
 class RequestConnection(Protocol):
     """The connection of a request, as far as the request needs it."""
 
@@ -44,8 +57,8 @@
         """Host and port of the far end."""
         raise NotImplementedError
 
-    def respond(self, response: Response) -> None:
-        """Writes the response to `request`."""
+    def respond(self, response: Response, on_delivery: DeliveryCallback | None = None) -> None:
+        """Writes the response to `request`, and tells what became of it."""
         raise NotImplementedError
 
 
@@ -81,17 +94,33 @@
         """Whether it needs no response: it has one, or nobody waits for it."""
         return self._connection is None or self._connection.request is not self
 
-    def respond(self, status: int, body: bytes = b"", headers: Headers = (), content_type: bytes = JSON) -> bool:
+    def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: Headers = (),
+        content_type: bytes = JSON,
+        on_delivery: DeliveryCallback | None = None,
+    ) -> bool:
         """Sends the response.
 
+        Args:
+            status: its status code.
+            body: its body.
+            headers: its header fields, without those that follow from the others.
+            content_type: of the body.
+            on_delivery: is told once what became of the response.
+
         Returns:
             True if this was the response that its sender gets; False if it had one, or its connection has ended.
         """
         connection = self._connection
         self._connection = None
         if connection is None or connection.request is not self:
+            if on_delivery is not None:
+                on_delivery(Delivery.LOST)
             return False
-        connection.respond(Response(status, body, headers, content_type))
+        connection.respond(Response(status, body, headers, content_type), on_delivery)
         return True
 
 
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -3,16 +3,23 @@
 `RequestReader` reads the requests, the server (`ConnectionOwner`) handles them. A connection ends in one of three ways:
 `close` once its last response is out; `refuse` with an error response behind which input is read and discarded for a
 moment, since a socket closed with unread bytes is reset and its response lost (RFC 9112, section 9.6); `abort` at once.
+
+Whoever responds may ask what became of the response (`Delivery`). It was delivered if a further request follows it, or
+the peer ends its stream and has acknowledged all bytes by then; it was lost if the peer ended its stream before, or
+reset the connection. So behind a last response of that kind the connection waits for the peer's end.
 """
 
 import asyncio
+import fcntl
 import json
+import struct
+import termios
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol, assert_never, cast
 
 from .connection_timeouts import Phase
-from .http_messages import JSON, TEXT, IncomingRequest, Response
+from .http_messages import JSON, TEXT, Delivery, DeliveryCallback, IncomingRequest, Response
 from .http_parsing import CONTINUE_RESPONSE
 from .http_request_reader import BodyBudget, RequestReader
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
@@ -20,6 +27,8 @@
 
 RETRY_AFTER_S = b"0.3"  # of a response with 503
 _UNNAMED_REASON = b"Said"  # the phrase of a status code that has none
+_FIN_BYTES = 1  # that the end of a stream takes in the count of what its peer has not acknowledged
+_INT = struct.Struct("i")
 
 
 class ConnectionOwner(Protocol):
@@ -69,6 +78,7 @@
         "transport",
         "_owner",
         "_unsent_bytes",
+        "_on_delivery",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -82,6 +92,7 @@
         self._owner = owner
         self.transport: asyncio.Transport
         self._unsent_bytes = 0  # of a response that its receiver does not take, when last looked at
+        self._on_delivery: DeliveryCallback | None = None  # of the last response
 
     @property
     def peer(self) -> tuple[str, int] | None:
@@ -118,6 +129,7 @@
         """The connection has ended. A request in progress learns of it from `IncomingRequest.finished`."""
         if self.request is not None:
             self._owner.counts["abandoned"] += 1
+        self._report_delivery(Delivery.UNKNOWN if error is None else Delivery.LOST)
         self.request = None
         self.closing = True
         self.ignores_input = True
@@ -126,12 +138,16 @@
 
     def eof_received(self) -> bool:
         """The peer sends nothing more, which counts as gone. Returns False, so that the loop closes."""
+        if self._on_delivery is not None:
+            unacknowledged = self._unacknowledged_bytes()
+            self._report_delivery(Delivery.LOST if unacknowledged > _FIN_BYTES else Delivery.DELIVERED)
         return False
 
     def data_received(self, data: bytes) -> None:
         """Bytes of a request."""
         if self.ignores_input:
             return
+        self._report_delivery(Delivery.DELIVERED)
         reader = self.reader
         had_begun = reader.message_begun
         error = reader.feed(data)
@@ -207,17 +223,22 @@
         self.reader.awaiting_response = True
         self.phase_since_ns = self._owner.clock()
 
-    def respond(self, response: Response) -> None:
-        """Writes the response to the present request, in one write."""
+    def respond(self, response: Response, on_delivery: DeliveryCallback | None = None) -> None:
+        """Writes the response to the present request, in one write. `on_delivery` is told what became of it."""
         is_head = self.request is not None and self.request.method == "HEAD"
         self._finish_request()
         self.phase_since_ns = self._owner.clock()
         self.reader.release_body()
         if self.closing:
+            if on_delivery is not None:
+                on_delivery(Delivery.LOST)
             return
         self.reader.last = self.reader.last or self._owner.draining
         self.transport.write(_encode_response(response, close=self.reader.last, omit_body=is_head))
-        if self.reader.last:
+        self._on_delivery = on_delivery
+        if self.reader.last and on_delivery is not None:
+            self._end_stream()
+        elif self.reader.last:
             self.close()
 
     def refuse(self, error: HttpStatusError) -> None:
@@ -231,12 +252,7 @@
         self.reader.message_begun = False
         self.reader.release_body()
         self.transport.write(_encode_error(error, self._owner.limits.plain_text_errors))
-        self.closing = True
-        self.phase_since_ns = self._owner.clock()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        else:
-            self.transport.close()
+        self._end_stream()
 
     def close(self) -> None:
         """Closes the connection once what was written is out; the sweep aborts it if that takes too long."""
@@ -251,6 +267,33 @@
         self.ignores_input = True
         self.transport.abort()
 
+    def _end_stream(self) -> None:
+        """Sends nothing more, and waits for the peer's end; the sweep aborts the connection if that takes too long."""
+        self.closing = True
+        self.ignores_input = True
+        self.phase_since_ns = self._owner.clock()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+
+    def _report_delivery(self, delivery: Delivery) -> None:
+        """Tells what became of the last response, once."""
+        on_delivery, self._on_delivery = self._on_delivery, None
+        if on_delivery is not None:
+            on_delivery(delivery)
+
+    def _unacknowledged_bytes(self) -> int:
+        """Bytes that the peer's kernel has not acknowledged; 0 if the transport has no socket to ask."""
+        peer_socket = self.transport.get_extra_info("socket")
+        if peer_socket is None:
+            return 0
+        try:
+            answer = fcntl.ioctl(peer_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        except OSError:
+            return 0
+        return int(_INT.unpack(answer)[0])
+
     def _finish_request(self) -> None:
         """No response is owed any more."""
         self.request = None
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -7,14 +7,16 @@
 from __future__ import annotations
 
 import zlib
+from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 from result import Err
 
+from ..consensus.evacuation_claims import EXPLICIT_IDENTITY
 from ..consensus.events import OrderKind, Outcome
 from ..consensus.state import MAX_BODY_BYTES
 from ..consensus.version_history import content_digest
-from ..net.http_messages import error_response, json_response
+from ..net.http_messages import Delivery, error_response, json_response
 from ..net.http_routing import endpoint
 from ..settings import configuration_reader
 from .evacuation_view import evacuation_view
@@ -24,20 +26,26 @@
 
     from ..consensus.state import State
     from ..net.http_messages import IncomingRequest, Response
+    from .answer_reports import AnswerReports
     from .order_submitter import OrderSubmitter
 
 MAX_REQUEST_BYTES = 32 << 20
 MAX_COMPRESSED_BYTES = MAX_BODY_BYTES - (64 << 10)  # of a configuration: a frame must hold what goes beside it too
 MAX_SHOWN_ZONE = 64  # characters of a zone that a refusal quotes
+MAX_KEY_CHARACTERS = 64  # of the key by which a caller names an order
+IDENTITY_BYTES = 6
 NO_ANSWER = error_response(503, "the core gave no answer in time", ((b"Retry-After", b"0.3"),))
 
 
 class ControlCalls:
     """The operators' orders."""
 
-    def __init__(self, orders: OrderSubmitter, zones: Mapping[str, str], counts: dict[str, int]) -> None:
-        """`zones`: the region of each zone that the settings name."""
+    def __init__(
+        self, orders: OrderSubmitter, reports: AnswerReports, zones: Mapping[str, str], counts: dict[str, int]
+    ) -> None:
+        """`reports` tell the core what became of answers; `zones`: the region of each zone that the settings name."""
         self._orders = orders
+        self._reports = reports
         self._zones = zones
         self.counts = counts
 
@@ -97,18 +105,38 @@
             return json_response({"Message": "of: missing in the query", "Field": "of"}, 400)
         if zone not in self._zones:
             return json_response({"Message": f"of: {zone[:MAX_SHOWN_ZONE]!r} is no zone", "Field": "of"}, 400)
+        key = request.query.get("key", "")
+        if len(key) > MAX_KEY_CHARACTERS:
+            return json_response({"Message": f"key: over {MAX_KEY_CHARACTERS} characters", "Field": "key"}, 400)
+        identity = explicit_identity(key) if key else self._orders.next_identity()
+
+        def on_delivery(delivery: Delivery) -> None:
+            """Tell the core whether the caller read the acknowledgement.
+
+            An order that its caller named stays what it is when one of its answers is lost: the repeat has its key.
+            """
+            if not key or delivery is Delivery.DELIVERED:
+                self._reports.report(zone, identity, delivery)
 
         def on_done(outcome: str | None, state: State | None) -> None:
             """Answer the caller."""
             if outcome == Outcome.DONE and state is not None:
-                reply(request, json_response(evacuation_view(zone, state)))
+                answer = json_response(evacuation_view(zone, state))
+                request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
                 reply(request, NO_ANSWER)
+                on_delivery(Delivery.LOST)  # it may be in force, and nobody holds it as acknowledged
 
-        self._orders.submit(kind, zone, on_done)
+        self._orders.submit(kind, zone, on_done, identity)
         return None
 
 
+def explicit_identity(key: str) -> int:
+    """Return the identity of an order that its caller named by a key."""
+    found = blake2b(key.encode(), digest_size=IDENTITY_BYTES).digest()
+    return EXPLICIT_IDENTITY | int.from_bytes(found, "big")
+
+
 def reply(request: IncomingRequest, answer: Response) -> bool:
     """Response a call that was kept waiting. Returns whether this was the answer that its caller gets."""
     return request.respond(answer.status, answer.body, answer.headers)
--- a/rampfront/node/core_driver.py
+++ b/rampfront/node/core_driver.py
@@ -24,7 +24,7 @@
     from ..consensus.record_store import RecordStore
     from ..consensus.state import State
     from .context import NodeContext
-    from .order_messages import OrderKey
+    from .order_messages import OrderKey, OrderRequest
     from .receivers import LeadershipObserver, OrderAnswerReceiver, StateReceiver
 
 
@@ -122,9 +122,9 @@
         """Tell the member that this process is about to end."""
         self.handle(events.Shutdown())
 
-    def submit(self, key: OrderKey, kind: str, body: object) -> None:
+    def submit(self, key: OrderKey, request: OrderRequest) -> None:
         """Hand the member an order; `OrderAnswerReceiver.on_core_answer` gets its outcome."""
-        self.handle(events.Order(key, kind, body))
+        self.handle(events.Order(key, request.kind, request.body, request.identity))
 
     def on_frame(self, ip: str, frame: dict[str, Any], now: int) -> None:
         """Hand the member a frame of another node. One that no member would send is counted and dropped."""
--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -12,6 +12,7 @@
 from ..net.http_routing import endpoint
 from ..net.http_server import HttpServer
 from . import log_events
+from .answer_reports import AnswerReports
 from .control_calls import ControlCalls
 from .directory_call import Directory
 from .metrics_page import MetricsPage
@@ -52,7 +53,8 @@
 
 def build_control_calls(node: NodeProcess) -> ControlCalls:
     """Return the operators' orders at a node."""
-    return ControlCalls(node.orders, node.context.process_settings.zones, node.context.counts)
+    reports = AnswerReports(node.context, node.orders)
+    return ControlCalls(node.orders, reports, node.context.process_settings.zones, node.context.counts)
 
 
 def build_directory(node: NodeProcess) -> Directory:
--- a/rampfront/node/order_executor.py
+++ b/rampfront/node/order_executor.py
@@ -51,10 +51,11 @@
 
     def _admit(self, key: OrderKey, request: OrderRequest) -> None:
         """Hand a new order to the core's member beside us, which leads."""
-        body_digest = digest(request.body[1]) if isinstance(request.body, tuple) else b""
+        configuration = request.configuration
+        body_digest = b"" if configuration is None else digest(configuration)
         admission = self.table.admit(key, request.kind, self._context.clock(), body_digest)
         if admission is Admission.NEW:
-            self._core.submit(key, request.kind, request.body)
+            self._core.submit(key, request)
         elif admission is Admission.IN_FLIGHT:
             self._context.counts["orders_repeated"] += 1
         else:
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Self, TypeAlias
 
+from ..consensus.evacuation_claims import IDENTITY_LIMIT
 from ..consensus.events import OrderKind, Outcome
 from ..consensus.state import MAX_BODY_BYTES, MAX_ZONE_LETTERS, State, decode_state
 from ..transport.frames import Message
@@ -22,6 +23,7 @@
 NUMBER = "r"
 ORDER_KIND = "o"
 BODY = "b"
+IDENTITY = "i"
 OUTCOME = "v"
 STATE = "S"
 
@@ -32,11 +34,13 @@
 OUTCOMES = frozenset((Outcome.DONE, Outcome.NOT_LEADER, Outcome.REJECTED, Outcome.UNKNOWN, Outcome.CONFLICT, BUSY))
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they rest on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of a configuration's order
+REPORT_FIELDS = ("zone", "identity")  # of the body of a report on an answer
 INCARNATION_BITS = 32
 INCARNATION_LIMIT = 1 << INCARNATION_BITS
 LARGEST_NUMBER = 1 << 53  # what JSON readers of other languages keep exactly
 
-OrderBody: TypeAlias = tuple[int, bytes] | str | None  # a revision and its compressed bytes, a zone, or nothing
+# A revision and its compressed bytes, a zone, a zone and the identity of an order on it, or nothing.
+OrderBody: TypeAlias = tuple[int, bytes] | tuple[str, int] | str | None
 
 
 class MalformedMessageError(ValueError):
@@ -52,22 +56,38 @@
 
 
 class OrderRequest(NamedTuple):
-    """An order on its way to the leader of the core. `kind`: one of `OrderKind`."""
+    """An order on its way to the leader of the core.
+
+    `kind`: one of `OrderKind`. `identity`: of an order on a zone, for reports on its answer; 0 for all others, and from
+    older nodes.
+    """
 
     incarnation: int
     number: int
     kind: str
     body: OrderBody
+    identity: int = 0
+
+    @property
+    def configuration(self) -> bytes | None:
+        """The compressed bytes of the configuration that the order brings, if it brings one."""
+        match self.body:
+            case (int(), bytes() as compressed):
+                return compressed
+        return None
 
     def encode(self) -> Message:
         """Return the frame for the transport."""
-        return {
+        frame = {
             FRAME_KIND: REQUEST_FRAME,
             INCARNATION: self.incarnation,
             NUMBER: self.number,
             ORDER_KIND: str(self.kind),
             BODY: self.body,
         }
+        if self.identity:
+            frame[IDENTITY] = self.identity
+        return frame
 
     @classmethod
     def decode(cls, frame: Message) -> Self:
@@ -77,7 +97,7 @@
             raise MalformedMessageError("order: kind")
         check_body = BODY_CHECKS[kind]
         incarnation, number = decode_identity(frame)
-        return cls(incarnation, number, kind, check_body(frame.get(BODY)))
+        return cls(incarnation, number, kind, check_body(frame.get(BODY)), _check_order_identity(frame))
 
 
 class OrderReply(NamedTuple):
@@ -153,6 +173,23 @@
     return body
 
 
+def _check_order_identity(frame: Message) -> int:
+    """The identity of an order on a zone; 0 if there is none."""
+    identity = frame.get(IDENTITY, 0)
+    if type(identity) is not int or not 0 <= identity < IDENTITY_LIMIT:
+        raise MalformedMessageError("order: identity")
+    return identity
+
+
+def _check_report(body: object) -> tuple[str, int]:
+    if not isinstance(body, (list, tuple)) or len(body) != len(REPORT_FIELDS):
+        raise MalformedMessageError("order: a report is a zone and an identity")
+    zone, identity = body
+    if type(identity) is not int or not 0 < identity < IDENTITY_LIMIT:
+        raise MalformedMessageError("order: identity")
+    return _check_zone(zone), identity
+
+
 def _check_empty(body: object) -> None:
     if body is not None:
         raise MalformedMessageError("order: a read has no body")
@@ -163,4 +200,6 @@
     OrderKind.EVACUATE: _check_zone,
     OrderKind.RESTORE: _check_zone,
     OrderKind.READ: _check_empty,
+    OrderKind.ANSWER_DELIVERED: _check_report,
+    OrderKind.ANSWER_LOST: _check_report,
 }
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -29,6 +29,7 @@
 RESEND_AFTER_NS = 300 * MS
 RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # the node asked has said that it does not lead
 MAX_OPEN = 256  # orders of this node under way
+NUMBER_BITS = 20  # of an order's identity; the others are the incarnation's
 
 
 class OrderSubmitter:
@@ -53,8 +54,15 @@
         self.incarnation = context.rng.getrandbits(INCARNATION_BITS)
         self.open: dict[int, OpenOrder] = {}  # by number; emptied by answers and by time
 
-    def submit(self, kind: str, body: OrderBody, on_done: OrderCallback) -> None:
-        """Take an order from an operator. `on_done` is called once, within ANSWER_WITHIN_NS."""
+    def next_identity(self) -> int:
+        """Return the identity for an order on a zone that is submitted next: no other order has the same."""
+        return (self.incarnation << NUMBER_BITS | (self._number + 1) % (1 << NUMBER_BITS)) or 1
+
+    def submit(self, kind: str, body: OrderBody, on_done: OrderCallback, identity: int = 0) -> None:
+        """Take an order from an operator, or a report on an answer. `on_done` is called once, within ANSWER_WITHIN_NS.
+
+        `identity`: of an order on a zone.
+        """
         counts = self._context.counts
         now = self._context.clock()
         if len(self.open) >= MAX_OPEN:
@@ -62,7 +70,7 @@
             on_done(BUSY, None)
             return
         self._number += 1
-        request = OrderRequest(self.incarnation, self._number, kind, body)
+        request = OrderRequest(self.incarnation, self._number, kind, body, identity)
         order = OpenOrder(request, now + ANSWER_WITHIN_NS, self._disseminator.state_index, on_done)
         self.open[self._number] = order
         counts["orders"] += 1
@@ -110,8 +118,8 @@
         if order is None:
             self._drop(ip, "nobody waits for it")
             return
-        body = order.request.body
-        own_bodies = [body[1]] if isinstance(body, tuple) else ()
+        configuration = order.request.configuration
+        own_bodies = () if configuration is None else [configuration]
         self.on_reply(ip, OrderReply.decode(frame, own_bodies))
 
     def on_reply(self, ip: str, reply: OrderReply) -> None:
--- a/rampfront/simulation/isolation.py
+++ b/rampfront/simulation/isolation.py
@@ -102,8 +102,8 @@
         self.handed = self.run.fleet.now
         hand_in(self.machine, self.kind, Asked({"of": self.operator.zone}, self.body, self.answered))
 
-    def answered(self, status: int, body: bytes = b"", headers: Headers = ()) -> bool:
-        """The machine answers. Raises `Broken` for an answer that it may not give."""
+    def answered(self, status: int, body: bytes = b"", headers: Headers = (), **_: object) -> bool:
+        """The machine answers, and is not told whether that was read. Raises `Broken` for one that it may not give."""
         fleet = self.run.fleet
         if status == DONE:
             self.confirmed(body)
@@ -189,7 +189,7 @@
         """One order beside those of the operators; its reply goes into the list that is returned."""
         replies: list[Reply] = []
 
-        def answer(status: int, said: bytes = b"", headers: Headers = ()) -> bool:
+        def answer(status: int, said: bytes = b"", headers: Headers = (), **_: object) -> bool:
             replies.append(Reply(status, said, self.fleet.now))
             return True
 
--- a/rampfront/simulation/operators.py
+++ b/rampfront/simulation/operators.py
@@ -7,6 +7,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from ..net.http_messages import Delivery, DeliveryCallback
 from .checks import Broken
 from .fleet import Asked, Machine
 from .linearizability import Kind, Operation, Verdict
@@ -17,6 +18,7 @@
 MS, SEC = 10**6, 10**9
 OK, NOT_FOUND, CONFLICT, SERVER_ERROR = 200, 404, 409, 500
 UNDER_WAY = 8  # orders of a storm at once
+CONNECTION_ENDS_AFTER = 10 * MS  # behind an answer that was read or lost, at the node
 FIRST_ONE_WAITS, OTHERS_WAIT = 60 * SEC, 15 * SEC  # for which an order is sent again
 
 
@@ -198,22 +200,33 @@
         if said is not None:
             told(said.status, said.body)
 
-    def said(self, tried: Try, status: int, body: bytes, *_: object) -> None:
-        """A node has an answer, which may get lost on its way."""
+    def said(
+        self, tried: Try, status: int, body: bytes, *_: object, on_delivery: DeliveryCallback | None = None
+    ) -> None:
+        """A node has an answer, which may get lost on its way. `on_delivery`: the node wants to know."""
         fleet, machine = self.fleet, tried.machine
         if status == OK:
             self.acker = machine
             self.acknowledged()
         if self.answer_loss and self.chance.random() < self.answer_loss:
             fleet.count("answers lost")
+            self.tell_delivery(tried, Delivery.LOST, on_delivery)
             return
-        fleet.at(fleet.now + fleet.way(machine.ip, "operator"), self.heard, tried, status, body)
+        fleet.at(fleet.now + fleet.way(machine.ip, "operator"), self.heard, tried, status, body, on_delivery)
 
-    def heard(self, tried: Try, status: int, body: bytes) -> None:
+    def tell_delivery(self, tried: Try, delivery: Delivery, on_delivery: DeliveryCallback | None) -> None:
+        """The node sees how the operator's connection ends."""
+        if on_delivery is not None:
+            machine, fleet = tried.machine, self.fleet
+            fleet.at(fleet.now + CONNECTION_ENDS_AFTER, fleet.do, machine, machine.life, on_delivery, delivery)
+
+    def heard(self, tried: Try, status: int, body: bytes, on_delivery: DeliveryCallback | None = None) -> None:
         """An operator has an answer. He has turned away from those of earlier tries."""
         call = tried.call
         if call.tries != tried.number:
+            self.tell_delivery(tried, Delivery.LOST, on_delivery)
             return
+        self.tell_delivery(tried, Delivery.DELIVERED, on_delivery)
         self.record(tried, status, body)
         if call.verdict is not None:
             return
--- a/rampfront/simulation/rules.py
+++ b/rampfront/simulation/rules.py
@@ -63,7 +63,7 @@
                 self.taken(machine, node_process, request)
             take(client, received)
 
-        def given(kind, body, done):
+        def given(kind, body, done, identity=0):
             call = fleet.calling
 
             def ended(verdict, state):
@@ -71,7 +71,7 @@
                     self.ledger.done(fleet.now, call, state)
                 done(verdict, state)
 
-            give(kind, body, ended)
+            give(kind, body, ended, identity)
 
         node_process.replicated_state.apply = applied
         node_process.leadership.update = ruled
--- a/tests/node/test_configuration_answers.py
+++ b/tests/node/test_configuration_answers.py
@@ -26,7 +26,7 @@
     def __init__(self, body: bytes = b"", **query: str) -> None:
         self.body, self.query, self.said = body, query, None
 
-    def respond(self, status: int, body: bytes = b"", headers: tuple = (), kind: bytes = b"") -> bool:
+    def respond(self, status: int, body: bytes = b"", headers: tuple = (), kind: bytes = b"", **_: object) -> bool:
         """Keeps the answer."""
         self.said = status, json.loads(body), dict(headers)
         return True
@@ -36,11 +36,13 @@
     """The calls of a node whose core gives these verdicts; and what it was asked."""
     orders, answers = [], list(verdicts)
 
-    def submit(kind: str, body: object, ended: object) -> None:
+    def submit(kind: str, body: object, ended: object, identity: int = 0) -> None:
         orders.append((kind, body))
         ended(*answers.pop(0))
 
-    return ControlCalls(SimpleNamespace(submit=submit), {"hall": "north"}, Counter()), orders
+    core = SimpleNamespace(submit=submit, next_identity=lambda: 1)
+    reports = SimpleNamespace(report=lambda *_: None)
+    return ControlCalls(core, reports, {"hall": "north"}, Counter()), orders
 
 
 def held(number: int, word: str = "web") -> State:
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -103,9 +103,9 @@
         step("record", fleet.now, loop.machine.name, "", record)
         return store(loop, record)
 
-    def answering(tried: Any, status: int, body: bytes, *more: Any) -> None:
+    def answering(tried: Any, status: int, body: bytes, *more: Any, **delivery: Any) -> None:
         step("answer", fleet.now, tried.machine.name, f"{tried.call.kind} {status}", body)
-        answer(tried, status, body, *more)
+        answer(tried, status, body, *more, **delivery)
 
     fleet.frame, fleet.flow, fleet.store, run.said = sending, flowing, storing, answering
     run.play()
@@ -242,7 +242,7 @@
         self.ask, self.answered = ask, answered
         self.query, self.body, self.path = dict(ask.query), ask.body.encode(), ask.path
 
-    def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object) -> bool:
+    def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object, **__: object) -> bool:
         """The answer."""
         self.answered(self.ask, status, body, headers)
         return True
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -161,7 +161,7 @@
 
     def order(call, query, body=b""):
         core = fleet.machines[0].control
-        getattr(core, call)(Asked(query, body, lambda status, body=b"", *more: answers.append(status) or True))
+        getattr(core, call)(Asked(query, body, lambda status, body=b"", *more, **_: answers.append(status) or True))
         fleet.run(fleet.now + 3 * SEC)
 
     order("replace_configuration", {}, configuration(Scale(NODES, routes=4, tenants=4, services=2)))
