Tests of claims, deliveries and reports; the command line names its orders on zones

Cause: the evidence behind evacuations had no tests of its own but the two red ones, and a command's retries looked like a second operator where the first node died.

--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -70,18 +70,25 @@
         path: the path, decoded as Latin-1.
         query: the parameters of the query, percent-decoded.
         body: the body, without chunk framing.
+        idempotency_key: by which the sender names the request, on each repeat anew; empty if it does not.
     """
 
-    __slots__ = ("method", "path", "query", "body", "_connection")
+    __slots__ = ("method", "path", "query", "body", "idempotency_key", "_connection")
 
     def __init__(
-        self, connection: RequestConnection, method: str, path: str, query: dict[str, str], body: bytes
+        self,
+        connection: RequestConnection,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
     ) -> None:
         """`connection` is where the response goes."""
         self.method = method
         self.path = path
         self.query = query
         self.body = body
+        self.idempotency_key = b""
         self._connection: RequestConnection | None = connection
 
     @property
--- a/rampfront/net/http_request_reader.py
+++ b/rampfront/net/http_request_reader.py
@@ -48,12 +48,16 @@
         self.used_bytes -= size
 
 
+IDEMPOTENCY_KEY = b"idempotency-key"  # by which a sender names a request, on each repeat anew (IETF draft)
+
+
 class RawRequest(NamedTuple):
     """A complete request as it came."""
 
     method: bytes
     target: bytes
     body: bytes
+    idempotency_key: bytes = b""  # the value of that field
 
 
 class RequestReader:
@@ -86,6 +90,7 @@
         "_content_length",
         "_expects_continue",
         "_target",
+        "_idempotency_key",
         "_body_parts",
         "_reserved_bytes",
     )
@@ -115,6 +120,7 @@
         self._content_length = 0
         self._expects_continue = False
         self._target = b""
+        self._idempotency_key = b""
         self._body_parts: list[bytes] = []
         self._reserved_bytes = 0  # of the budget
 
@@ -133,7 +139,7 @@
         assert self._parser is not None
         parts = self._body_parts
         body = parts[0] if len(parts) == 1 else b"".join(parts)
-        request = RawRequest(self._parser.get_method(), self._target, body)
+        request = RawRequest(self._parser.get_method(), self._target, body, self._idempotency_key)
         self._body_parts = []
         self._target = b""
         return request
@@ -159,6 +165,7 @@
         self.head_complete = False
         self._expects_continue = False
         self._target = b""
+        self._idempotency_key = b""
         self._section_bytes = 0
         self._content_length = 0
 
@@ -176,6 +183,8 @@
             self._content_length = int(digits) if digits.isdigit() else 0  # the parser refuses all but numbers
         elif name == b"expect":
             self._expects_continue = True
+        elif name == IDEMPOTENCY_KEY:
+            self._idempotency_key = value
 
     def on_headers_complete(self) -> None:
         """The head is complete."""
--- a/rampfront/net/http_server.py
+++ b/rampfront/net/http_server.py
@@ -259,4 +259,6 @@
     path_and_query = target.split(b"?", 1)
     path = path_and_query[0].decode("latin-1")
     parameters = parse_query(path_and_query[1]) if len(path_and_query) > 1 else {}
-    return IncomingRequest(connection, raw.method.decode("ascii"), path, parameters, raw.body)
+    request = IncomingRequest(connection, raw.method.decode("ascii"), path, parameters, raw.body)
+    request.idempotency_key = raw.idempotency_key
+    return request
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -32,7 +32,7 @@
 MAX_REQUEST_BYTES = 32 << 20
 MAX_COMPRESSED_BYTES = MAX_BODY_BYTES - (64 << 10)  # of a configuration: a frame must hold what goes beside it too
 MAX_SHOWN_ZONE = 64  # characters of a zone that a refusal quotes
-MAX_KEY_CHARACTERS = 64  # of the key by which a caller names an order
+MAX_KEY_BYTES = 64  # of the key by which a caller names an order
 IDENTITY_BYTES = 6
 NO_ANSWER = error_response(503, "the core gave no answer in time", ((b"Retry-After", b"0.3"),))
 
@@ -105,9 +105,10 @@
             return json_response({"Message": "of: missing in the query", "Field": "of"}, 400)
         if zone not in self._zones:
             return json_response({"Message": f"of: {zone[:MAX_SHOWN_ZONE]!r} is no zone", "Field": "of"}, 400)
-        key = request.query.get("key", "")
-        if len(key) > MAX_KEY_CHARACTERS:
-            return json_response({"Message": f"key: over {MAX_KEY_CHARACTERS} characters", "Field": "key"}, 400)
+        key = request.idempotency_key
+        if len(key) > MAX_KEY_BYTES:
+            message = f"Idempotency-Key: over {MAX_KEY_BYTES} bytes"
+            return json_response({"Message": message, "Field": "Idempotency-Key"}, 400)
         identity = explicit_identity(key) if key else self._orders.next_identity()
 
         def on_delivery(delivery: Delivery) -> None:
@@ -131,9 +132,9 @@
         return None
 
 
-def explicit_identity(key: str) -> int:
+def explicit_identity(key: bytes) -> int:
     """Return the identity of an order that its caller named by a key."""
-    found = blake2b(key.encode(), digest_size=IDENTITY_BYTES).digest()
+    found = blake2b(key, digest_size=IDENTITY_BYTES).digest()
     return EXPLICIT_IDENTITY | int.from_bytes(found, "big")
 
 
--- a/rampfront/operator_cli/control_client.py
+++ b/rampfront/operator_cli/control_client.py
@@ -70,9 +70,13 @@
         self.clock = clock
         self.sleep = sleep
 
-    async def call(self, name: str, body: bytes = b"", query: Mapping[str, str] | None = None) -> CallResult:
-        """Makes a call, with retries at all nodes until the time-out."""
-        target = call_target(name, query or {})
+    async def call(
+        self, name: str, body: bytes = b"", query: Mapping[str, str] | None = None, key: bytes = b""
+    ) -> CallResult:
+        """Makes a call, with retries at all nodes until the time-out. `key`: names it, the same on each retry."""
+        fields = ((b"Content-Type", b"application/json" if body else b""), (b"Idempotency-Key", key))
+        headers = tuple((field, value) for field, value in fields if value)
+        request = HttpRequest("POST", call_target(name, query or {}), body, headers)
         deadline = self.clock() + self.timeout_s
         pause = FIRST_PAUSE_S
         failures: dict[Address, str] = {}
@@ -80,7 +84,7 @@
         turn = 0
         while True:
             address = self.addresses[turn % len(self.addresses)]
-            outcome = await self.call_node(address, name, target, body, deadline - self.clock())
+            outcome = await self.call_node(address, name, request, deadline - self.clock())
             if isinstance(outcome, Ok):
                 self._prefer(turn % len(self.addresses))
                 return outcome
@@ -101,15 +105,13 @@
         self.addresses = self.addresses[index:] + self.addresses[:index]
 
     async def call_node(
-        self, address: Address, name: str, target: str, body: bytes = b"", timeout_s: float = NODE_TIMEOUT_S
+        self, address: Address, name: str, request: HttpRequest, timeout_s: float = NODE_TIMEOUT_S
     ) -> Result[Answer, Rejection | FailedAttempt]:
         """Asks one node once, following redirections."""
-        wanted_s = NODE_TIMEOUT_S + NODE_TIMEOUT_S_PER_MB * len(body) / 1e6
+        wanted_s = NODE_TIMEOUT_S + NODE_TIMEOUT_S_PER_MB * len(request.body) / 1e6
         timeout_s = max(MIN_NODE_TIMEOUT_S, min(wanted_s, timeout_s))
-        headers = ((b"Content-Type", b"application/json"),) if body else ()
         loop = asyncio.get_running_loop()
         for _ in range(MAX_REDIRECTIONS + 1):
-            request = HttpRequest("POST", target, body, headers)
             outcome = await self.send(loop, address, request, timeout_s, MAX_ANSWER_BYTES)
             if outcome.is_err():
                 return Err(FailedAttempt(str(outcome.err_value), outcome.err_value.may_have_run))
@@ -120,6 +122,7 @@
             if redirection is None:
                 return Err(FailedAttempt("sends us on to nowhere", False))
             address, target = redirection
+            request = request._replace(target=target)
         return Err(FailedAttempt(_describe(response), False))
 
     async def read_list(
--- a/rampfront/operator_cli/system_status.py
+++ b/rampfront/operator_cli/system_status.py
@@ -11,6 +11,7 @@
 from result import Ok, Result
 
 from ..consensus.core_strength import MemberCondition
+from ..net.http_client import HttpRequest
 from ..settings.scalars import parse_address
 from .control_answers import Json, format_address
 from .control_client import ControlClient, call_target
@@ -57,7 +58,8 @@
     async def read_state(control: str, node: Json) -> Json:
         """Asks one node."""
         async with slots:
-            outcome = await client.call_node(parse_address(control), "state.read", call_target("state.read", {}))
+            request = HttpRequest("POST", call_target("state.read", {}))
+            outcome = await client.call_node(parse_address(control), "state.read", request)
         if isinstance(outcome, Ok):
             return {**outcome.ok_value.document, "Control": control, "Answers": True}
         return {"Node": node["Name"], "Ip": node["Ip"], "Zone": node["Zone"], "Control": control, "Answers": False}
--- a/rampfront/operator_cli/zone_commands.py
+++ b/rampfront/operator_cli/zone_commands.py
@@ -1,6 +1,7 @@
 """Commands that evacuate zones and take them back."""
 
 import asyncio
+import uuid
 from http import HTTPStatus
 
 import click
@@ -39,8 +40,12 @@
 
 
 def _order(session: Session, name: str, zone: str) -> Answer:
-    """Gives an order on a zone; ends the command if it fails, with the zones there are if it is none of them."""
-    result = asyncio.run(session.client.call(name, query={"of": zone}))
+    """Gives an order on a zone; ends the command if it fails, with the zones there are if it is none of them.
+
+    Each command names its order, so that its retries are not taken for another operator's order.
+    """
+    key = uuid.uuid4().hex.encode()
+    result = asyncio.run(session.client.call(name, query={"of": zone}, key=key))
     if isinstance(result, Ok):
         return result.ok_value
     failure = result.err_value
--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -316,10 +316,10 @@
 class Asked:
     """A call to the directory or of an operator."""
 
-    __slots__ = "query", "body", "respond", "path"
+    __slots__ = "query", "body", "respond", "path", "idempotency_key"
 
     def __init__(self, query, body=b"", respond=None):
-        self.query, self.body, self.respond, self.path = query, body, respond, ""
+        self.query, self.body, self.respond, self.path, self.idempotency_key = query, body, respond, "", b""
 
 
 class Fleet(Course):
--- /dev/null
+++ b/tests/consensus/test_evacuation_claims.py
@@ -0,0 +1,271 @@
+"""A repeat of an order on a zone is told from a second operator's by what became of the answer before it."""
+
+import cbor2
+import pytest
+from core_fixtures import Core, PlacedOrder, until
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rampfront.consensus import evacuation_claims as claims
+from rampfront.consensus import evacuations as e
+from rampfront.consensus import events
+from rampfront.consensus.errors import RemoteProtocolError
+from rampfront.consensus.evacuation_claims import Claim, Delivery
+from rampfront.consensus.events import OrderKind, Outcome
+from rampfront.consensus.record import decode_record
+from rampfront.simulation.world import MS, SEC
+
+ZONE = "hall"
+REPEATS = 7300  # ms: within which callers repeat, and a zone opens behind its last certain operator
+NAMED = claims.EXPLICIT_IDENTITY
+ONE, TWO, THREE, FOUR = range(11, 15)
+GOT, LOST = OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST
+
+
+class Scene(Core):
+    """A core of long standing, and orders on one zone."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go(8 * SEC)
+        self.first_sent: dict[tuple[OrderKind, int], object] = {}  # what was in force when an order was sent first
+
+    def place(self, kind: OrderKind, identity: int) -> None:
+        """An order, or a report on the answer to one, which the leader takes."""
+        is_report = kind in (GOT, LOST)
+        body = (ZONE, identity) if is_report else ZONE
+        floor = self.first_sent.setdefault((kind, identity), self.ledger.newest())
+        call = PlacedOrder(kind, body, floor)
+        self.tell(self.leader, events.Order((call, 0), kind, body, 0 if is_report else identity))
+        until(self, lambda: call.verdict == Outcome.DONE)
+
+    def evacuate(self, identity: int) -> None:
+        self.place(OrderKind.EVACUATE, identity)
+
+    def restore(self, identity: int) -> None:
+        self.place(OrderKind.RESTORE, identity)
+
+    def report(self, kind: OrderKind, *identities: int) -> None:
+        for identity in identities:
+            self.place(kind, identity)
+
+    def wait(self, ms: int) -> None:
+        self.go(ms * MS)
+
+    @property
+    def is_evacuated(self) -> bool:
+        return ZONE in self.leader.core_member.committed.evacuated_zones
+
+    @property
+    def evacuation(self) -> e.Evacuation:
+        return self.leader.core_member.committed.evacuations.get(ZONE, e.SINGLE_OPERATOR)
+
+    def opens_within(self, ms: int) -> bool:
+        end = self.now + ms * MS
+        while self.is_evacuated and self.now < end:
+            self.wait(20)
+        return not self.is_evacuated
+
+    def change_leader(self, power: bool = True) -> None:
+        old = self.leader
+        self.stop(old, power=power)
+        self.wait(3000)
+        self.start(old, False)
+        self.wait(500)
+
+
+@pytest.mark.parametrize("apart", [600, 800, 3000, 5900])
+@pytest.mark.parametrize("reported", ["at once", "late"])
+def test_two_operators_whose_answers_were_delivered_are_counted(apart: int, reported: str) -> None:
+    scene = Scene()
+    scene.evacuate(ONE)
+    if reported == "at once":
+        scene.report(GOT, ONE)
+    scene.wait(apart)
+    scene.evacuate(TWO)
+    if reported == "late":
+        scene.wait(600)
+        scene.report(GOT, ONE)
+    scene.report(GOT, TWO)
+    assert (scene.evacuation.operators, scene.evacuation.repeated) == (2, False)
+    scene.restore(THREE)
+    assert not scene.opens_within(60000)
+    scene.restore(FOUR)
+    assert not scene.is_evacuated
+
+
+@pytest.mark.parametrize("reported", ["before", "behind"])
+def test_an_order_whose_answer_was_lost_gives_its_place_to_the_next(reported: str) -> None:
+    scene = Scene()
+    scene.evacuate(ONE)
+    if reported == "before":
+        scene.report(LOST, ONE)
+    scene.evacuate(TWO)
+    if reported == "behind":
+        assert scene.evacuation.repeated
+        scene.report(LOST, ONE)
+    assert (scene.evacuation.operators, scene.evacuation.repeated) == (1, False)
+    scene.restore(THREE)
+    assert not scene.is_evacuated
+
+
+def test_an_order_that_follows_a_delivered_answer_at_once_may_be_a_repeat() -> None:
+    """A program loses an answer that its machine has taken, and sends again after its first pause."""
+    scene = Scene()
+    scene.evacuate(ONE)
+    scene.report(GOT, ONE)
+    scene.wait(150)
+    scene.evacuate(TWO)
+    scene.report(GOT, TWO)
+    assert (scene.evacuation.operators, scene.evacuation.repeated) == (1, True)
+    scene.wait(9000)
+    scene.restore(THREE)
+    assert scene.is_evacuated and scene.opens_within(REPEATS)
+
+
+@pytest.mark.parametrize("repeat, opens", [(THREE, True), (FOUR, False)])
+def test_two_who_take_back_at_nearly_one_time_are_counted_once_their_answers_are_known(
+    repeat: int, opens: bool
+) -> None:
+    scene = Scene()
+    scene.evacuate(ONE)
+    scene.report(GOT, ONE)
+    scene.wait(1000)
+    scene.evacuate(TWO)
+    scene.report(GOT, TWO)
+    scene.restore(THREE)
+    if opens:
+        scene.report(GOT, THREE)
+        scene.wait(1000)
+    scene.restore(FOUR)
+    assert scene.is_evacuated is not opens  # without the report it may be the same order
+
+
+def test_claims_outlive_a_change_of_leader_and_a_loss_of_power_of_all() -> None:
+    scene = Scene()
+    scene.evacuate(ONE)
+    scene.report(GOT, ONE)
+    scene.change_leader()
+    scene.wait(1000)
+    scene.evacuate(TWO)  # within 7 s of the first, and of the new leader's beginning
+    assert scene.evacuation.operators == 2
+    scene.report(LOST, TWO)
+    assert scene.evacuation.operators == 1
+    scene.evacuate(THREE)
+    scene.report(GOT, THREE)
+    for node in scene.nodes:
+        scene.stop(node, power=True)
+    scene.wait(300)
+    for node in scene.nodes:
+        scene.start(node, False)
+    scene.wait(8000)
+    assert (scene.evacuation.operators, scene.evacuation.repeated) == (2, False)
+    scene.restore(FOUR)
+    assert not scene.opens_within(20000)
+
+
+def test_an_order_that_its_caller_named_is_known_by_its_name() -> None:
+    scene = Scene()
+    for identity in (NAMED + ONE, NAMED + ONE, NAMED + TWO, NAMED + ONE):
+        scene.evacuate(identity)
+        scene.wait(100)
+    assert (scene.evacuation.operators, scene.evacuation.repeated) == (2, False)
+    for identity in (NAMED + THREE, NAMED + THREE):
+        scene.restore(identity)
+    assert scene.is_evacuated
+    scene.restore(NAMED + FOUR)
+    assert not scene.is_evacuated
+    scene.evacuate(ONE)
+    scene.restore(NAMED + FOUR)  # a late repeat, behind a new evacuation
+    assert scene.is_evacuated
+
+
+def test_a_report_on_an_order_that_is_not_known_changes_nothing() -> None:
+    scene = Scene()
+    scene.report(LOST, ONE)
+    scene.report(GOT, ONE)
+    assert not scene.is_evacuated
+    scene.evacuate(ONE)
+    before = scene.leader.core_member.committed.index
+    scene.report(LOST, TWO)
+    scene.report(GOT, TWO)
+    assert scene.leader.core_member.committed.index == before and scene.is_evacuated
+
+
+def test_a_record_of_before_reads_and_keeps_its_operators() -> None:
+    scene = Scene()
+    scene.evacuate(ONE)
+    scene.report(GOT, ONE)
+    scene.wait(1000)
+    scene.evacuate(TWO)
+    persistent = scene.leader.core_member.roles.persistent
+    columns = cbor2.loads(persistent.encode())
+    name = persistent.key.name
+    with_claims = decode_record(cbor2.dumps(columns), name).entry
+    without = decode_record(cbor2.dumps(columns[:-1]), name).entry
+    assert [claim.identity for claim in with_claims.evacuations[ZONE].claims] == [ONE, TWO]
+    assert without.evacuations == {ZONE: e.Evacuation(2)}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {},
+        [["hall"]],
+        [["hall", 1, 0]],
+        [["hall", 0, 0, True]],
+        [["hall", 1 << 53, 0, True]],
+        [["hall", 1, 3, True]],
+        [["hall", 1, 0, 1]],
+        [["hall", True, 0, True]],
+        [[7, 1, 0, True]],
+        [["hall", *[1, 0, True] * 9]],
+        [["hall", 1, 0, True]] * 65,
+    ],
+)
+def test_invalid_claims_are_refused(odd: object) -> None:
+    with pytest.raises(RemoteProtocolError):
+        claims.decode_claims(odd)
+
+
+def test_claims_are_read_back_and_must_be_of_evacuated_zones() -> None:
+    table = {ZONE: (Claim(1), Claim(2, Delivery.LOST, False)), "cellar": (Claim(3, Delivery.DELIVERED),)}
+    assert claims.decode_claims(cbor2.loads(cbor2.dumps(claims.encode_claims(table)))) == table
+    with pytest.raises(RemoteProtocolError):
+        e.with_claims(frozenset({ZONE}), {}, table)
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.data())
+def test_any_history_of_lost_and_repeated_orders_counts_the_operators(data: st.DataObject) -> None:
+    """Each operator sends until an answer reaches him; reports come late and in any order; none is followed at once."""
+    operators = data.draw(st.integers(1, 3))
+    left = {operator: data.draw(st.integers(0, 2)) for operator in range(operators)}  # answers that will be lost
+    waiting: list[tuple[Delivery, int]] = []
+    zones: frozenset[str] = frozenset()
+    table: e.EvacuationTable = {}
+    identity = 0
+    while left or waiting:
+        if left and (not waiting or data.draw(st.booleans())):
+            operator = data.draw(st.sampled_from(sorted(left)))
+            identity += 1
+            fate = Delivery.LOST if left[operator] else Delivery.DELIVERED
+            waiting.append((fate, identity))
+            left[operator] -= 1
+            if fate is Delivery.DELIVERED:
+                del left[operator]
+            last = claims.last_counted(table.get(ZONE, e.SINGLE_OPERATOR).claims)
+            may_be_repeat = last is None or last.delivery is not Delivery.DELIVERED
+            zones, table = e.evacuate(zones, table, ZONE, may_be_repeat, identity)
+        else:
+            fate, reported = waiting.pop(data.draw(st.integers(0, len(waiting) - 1)))
+            if fate is Delivery.LOST:
+                zones, table = e.note_lost(zones, table, ZONE, reported)
+            else:
+                table = e.note_delivered(table, ZONE, reported, False)
+        assert ZONE in zones
+    assert (table[ZONE].operators, table[ZONE].repeated) == (operators, False)
+    for back in range(operators):
+        assert ZONE in zones, f"open behind {back} of {operators} returns"
+        zones, table = e.restore(zones, table, ZONE, False)
+    assert ZONE not in zones and not table
--- /dev/null
+++ b/tests/net/test_response_delivery.py
@@ -0,0 +1,123 @@
+"""What became of a response, on loopback: whoever responds is told once."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from rampfront.net.http_messages import Delivery, IncomingRequest
+from rampfront.net.http_routing import endpoint
+from rampfront.net.http_server import HttpServer
+from rampfront.net.limits import HttpServerLimits
+
+CALL = b"GET /later HTTP/1.1\r\nHost: h\r\n%s\r\n"
+CLOSE = b"Connection: close\r\n"
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
+LARGE = b"x" * (256 << 10)  # more than the caller's kernel takes, and not more than ours
+
+
+class Stage:
+    """A server, one caller, and what the handler was told."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.now = loop, 10**9
+        self.pending: list[IncomingRequest] = []
+        self.told: list[Delivery] = []
+        limits = HttpServerLimits(sweep_interval_ns=0)
+        self.server = HttpServer(loop, lambda: self.now, [self], limits)
+        address = self.run(self.server.listen("127.0.0.1", 0))
+        self.caller = socket.socket()
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.caller.settimeout(5)
+        self.caller.connect(address)
+
+    @endpoint("GET", "/later")
+    def later(self, request: IncomingRequest) -> None:
+        self.pending.append(request)
+
+    def run(self, what):
+        return self.loop.run_until_complete(asyncio.wait_for(what, 5))
+
+    def until(self, true) -> None:
+        async def turn() -> None:
+            while not true():
+                await asyncio.sleep(0)
+
+        self.run(turn())
+
+    def call(self, fields: bytes = b"") -> IncomingRequest:
+        self.caller.sendall(CALL % fields)
+        self.until(lambda: self.pending)
+        return self.pending.pop()
+
+    def respond(self, request: IncomingRequest, body: bytes = b"yes") -> bool:
+        return request.respond(200, body, on_delivery=self.told.append)
+
+
+@pytest.fixture
+def stage(any_loop):
+    stage = Stage(any_loop)
+    yield stage
+    stage.caller.close()
+    stage.server.close()
+
+
+@pytest.mark.parametrize("fields", [b"", CLOSE], ids=["kept", "close"])
+def test_a_response_that_was_read_before_the_end_is_delivered(stage, fields) -> None:
+    assert stage.respond(stage.call(fields))
+    assert stage.caller.recv(1000).endswith(b"yes") and not stage.told
+    if fields:
+        stage.until(lambda: stage.caller.recv(1000) == b"")
+    stage.caller.close()
+    stage.until(lambda: stage.told)
+    assert stage.told == [Delivery.DELIVERED]
+    stage.until(lambda: not stage.server.connections)
+
+
+def test_a_further_request_shows_that_a_response_was_read(stage) -> None:
+    stage.respond(stage.call())
+    assert stage.caller.recv(1000).endswith(b"yes")
+    stage.call()
+    assert stage.told == [Delivery.DELIVERED]
+
+
+@pytest.mark.parametrize("fields", [b"", CLOSE], ids=["kept", "close"])
+def test_a_response_to_a_reset_connection_is_lost(stage, fields) -> None:
+    request = stage.call(fields)
+    stage.caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    stage.respond(request)
+    stage.caller.close()
+    stage.until(lambda: stage.told)
+    assert stage.told == [Delivery.LOST]
+
+
+def test_a_response_behind_the_end_of_its_connection_is_lost(stage) -> None:
+    request = stage.call()
+    stage.caller.close()
+    stage.until(lambda: not stage.server.connections)
+    assert not stage.respond(request)
+    assert stage.told == [Delivery.LOST]
+
+
+def test_a_response_of_which_a_part_was_read_is_lost(stage) -> None:
+    stage.respond(stage.call(), LARGE)
+    stage.caller.recv(1000)
+    stage.caller.shutdown(socket.SHUT_WR)  # its end comes in order, and the rest is not acknowledged
+    stage.until(lambda: stage.told)
+    assert stage.told == [Delivery.LOST]
+
+
+def test_what_a_connection_that_we_end_took_along_is_not_known(stage) -> None:
+    stage.respond(stage.call())
+    stage.server.close()
+    stage.until(lambda: stage.told)
+    assert stage.told == [Delivery.UNKNOWN]
+
+
+def test_a_caller_that_never_ends_its_stream_is_ended(stage) -> None:
+    stage.respond(stage.call(CLOSE))
+    stage.now += 60 * 10**9
+    stage.server.sweep()
+    stage.until(lambda: not stage.server.connections)
+    assert stage.told == [Delivery.UNKNOWN]
--- a/tests/node/test_configuration_answers.py
+++ b/tests/node/test_configuration_answers.py
@@ -24,7 +24,7 @@
     """A call at the control address."""
 
     def __init__(self, body: bytes = b"", **query: str) -> None:
-        self.body, self.query, self.said = body, query, None
+        self.body, self.query, self.said, self.idempotency_key = body, query, None, b""
 
     def respond(self, status: int, body: bytes = b"", headers: tuple = (), kind: bytes = b"", **_: object) -> bool:
         """Keeps the answer."""
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -241,6 +241,7 @@
     def __init__(self, ask: Ask, answered: Answered) -> None:
         self.ask, self.answered = ask, answered
         self.query, self.body, self.path = dict(ask.query), ask.body.encode(), ask.path
+        self.idempotency_key = b""
 
     def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object, **__: object) -> bool:
         """The answer."""
