--- a/rampfront/simulation/__main__.py
+++ b/rampfront/simulation/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from .closing_loss import ClosingLossRun
 from .schedule import Run
 from .shrink import as_test, shrink
 from .system_run import SystemRun
@@ -36,11 +37,11 @@
         return run.world.counts, run.world.steps, told(run, f"seed {seed}, {members} members", lambda world: world.log)
 
 
-def sail(seed, nodes, disks):
-    """The same for a run of the whole."""
+def play_whole(kind, seed, nodes, disks):
+    """The same for a run of the whole. `kind`: its class."""
     system_run = None
     try:
-        system_run = SystemRun(seed, nodes, disks)
+        system_run = kind(seed, nodes, disks)
         counts = system_run.play()
         failure = None
     except Exception:
@@ -52,6 +53,15 @@
     return counts, system_run.fleet.steps, failure
 
 
+def player(whole, closing, members, survive, nodes):
+    """What plays one seed of the wanted kind."""
+    if closing:
+        return partial(play_whole, ClosingLossRun, nodes=nodes, disks=members)
+    if whole:
+        return partial(play_whole, SystemRun, nodes=nodes, disks=members)
+    return partial(play, members=members, survive=survive)
+
+
 def part(seeds, one):
     return [one(seed) for seed in seeds]
 
@@ -64,6 +74,7 @@
 @click.option("--workers", default=os.cpu_count(), show_default=True)
 @click.option("--show", default=3, show_default=True, help="Failing schedules to print whole.")
 @click.option("--whole", is_flag=True, help="Whole stations, with clients, servers, platform and operators.")
+@click.option("--closing", is_flag=True, help="The same, each ending with lost disks and a loss of power of all.")
 @click.option("--nodes", default=11, show_default=True, help="Stations of the whole.")
 @click.option(
     "--shrink",
@@ -71,7 +82,7 @@
     is_flag=True,
     help="Of the whole: makes the plan of the seed --first small and prints it as a test.",
 )
-def main(seeds, first, members, survive, workers, show, whole, nodes, small):
+def main(seeds, first, members, survive, workers, show, whole, closing, nodes, small):
     """Plays schedules, each from its seed; prints those that break a promise, and counts."""
     members = members if members != 4 or nodes < 20 else 6
     if small:
@@ -79,9 +90,9 @@
         click.echo(f"{as_test(first, nodes, found[0])}\n{found[1]}" if found else f"seed {first} breaks nothing")
         raise SystemExit(bool(found))
     began, total, most, steps, broken = time.monotonic(), {}, {}, 0, []
-    size = 5 if whole else PART
+    size = 5 if whole or closing else PART
     parts = [range(start, min(start + size, first + seeds)) for start in range(first, first + seeds, size)]
-    one = partial(sail, nodes=nodes, disks=members) if whole else partial(play, members=members, survive=survive)
+    one = player(whole, closing, members, survive, nodes)
     with ProcessPoolExecutor(workers) as pool:
         played = 0
         for results in pool.map(part, parts, [one] * len(parts)):
@@ -100,7 +111,7 @@
                 click.echo(f"{played} schedules, {len(broken)} broken, {time.monotonic() - began:.0f} s", err=True)
     took = time.monotonic() - began
     pace = seeds / took * 60
-    what = f"{nodes} nodes, {members} of them with a disk" if whole else f"{members} members"
+    what = f"{nodes} nodes, {members} of them with a disk" if whole or closing else f"{members} members"
     click.echo(f"schedules {seeds} of {what}, {took:.1f} s ({pace:.0f} a minute), {steps} steps")
     click.echo("  ".join(f"{what} {count}" for what, count in sorted(total.items())))
     click.echo(
--- a/rampfront/simulation/system_run.py
+++ b/rampfront/simulation/system_run.py
@@ -52,6 +52,19 @@
 
     def play(self) -> dict[str, int]:
         """Returns the counts of what happened; raises `Broken`."""
+        self.start_all()
+        fleet = self.fleet
+        for at, what, *args in self.plan:
+            fleet.at(at * MS, self.befall, what, args)
+        fleet.run(self.ends)
+        self.settle()
+        if self.closing:
+            self.close(*self.closing)
+        self.check_history()
+        return fleet.counts
+
+    def start_all(self) -> None:
+        """Servers, machines, clients and the first configuration."""
         fleet, chance = self.fleet, self.chance
         for service in SERVICES:
             for zone in ZONES:
@@ -66,14 +79,6 @@
             fleet.at(2 * SEC, self.ask_on, tenant)
         fleet.at(4 * SEC, self.probe)
         fleet.at(0, self.look)
-        for at, what, *args in self.plan:
-            fleet.at(at * MS, self.befall, what, args)
-        fleet.run(self.ends)
-        self.settle()
-        if self.closing:
-            self.close(*self.closing)
-        self.check_history()
-        return fleet.counts
 
     def befall(self, what: str, arguments: list) -> None:
         """A row of the plan comes due."""
--- /dev/null
+++ b/tests/test_closing_loss.py
@@ -0,0 +1,75 @@
+"""Disks lost while all other machines lose power: seeded runs, each situation, and planted faults that are found."""
+
+from typing import Any
+
+import pytest
+
+from rampfront.consensus.persistent_state import PersistentState
+from rampfront.simulation import closing_loss
+from rampfront.simulation.checks import Broken
+from rampfront.simulation.closing_loss import SITUATIONS, ClosingLossRun
+from rampfront.simulation.fleet import Fleet
+
+PLANTED_SEEDS = range(1, 60)
+
+
+@pytest.mark.parametrize("disks, nodes, seed", [(4, 11, 1), (4, 11, 2), (6, 12, 3), (8, 14, 4)])
+def test_what_was_acknowledged_outlives_it(disks: int, nodes: int, seed: int) -> None:
+    counts = ClosingLossRun(seed, nodes, disks).play()
+    assert counts["disks lost"] and counts["answer 200"] > 50
+
+
+@pytest.mark.parametrize("situation", SITUATIONS, ids=lambda each: each.__name__)
+def test_each_situation(situation: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(closing_loss, "SITUATIONS", (situation,))
+    assert ClosingLossRun(11).play()[situation.__name__] == 1
+
+
+def breaks(nodes: int = 8, disks: int = 4) -> str:
+    """How one of some runs breaks; empty if none does."""
+    for seed in PLANTED_SEEDS:
+        try:
+            ClosingLossRun(seed, nodes, disks).play()
+        except Broken as broken:
+            return str(broken)
+    return ""
+
+
+def test_a_vote_by_an_empty_disk_would_be_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It comes back under the incarnation that it had, so what it forgot counts as its promise."""
+
+    def same_incarnation(self: PersistentState, incarnation: int) -> None:
+        fixed = sum(self._context.settings.name.encode())
+        self.key = self.key._replace(name=self._context.settings.name, incarnation=fixed)
+
+    monkeypatch.setattr(PersistentState, "_set_incarnation", same_incarnation)
+    # Two that forgot and two that never knew are a majority of six.
+    monkeypatch.setattr(closing_loss, "SITUATIONS", (ClosingLossRun.minority_cut_off,))
+    assert breaks(8, 6)
+
+
+def test_a_core_that_is_founded_anew_would_be_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """On an empty disk, though the settings say that it is no first start."""
+    start_empty = PersistentState._start_empty
+
+    def founds(self: PersistentState) -> None:
+        settings = self._context.settings
+        self._context.settings = settings._replace(is_first_start=True)
+        start_empty(self)
+        self._context.settings = settings
+
+    monkeypatch.setattr(PersistentState, "_start_empty", founds)
+    assert breaks()
+
+
+def test_an_acknowledgement_of_what_is_not_on_disk_would_be_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    stored = Fleet.stored
+
+    def not_stored(self: Fleet, machine: Any, life: int, disk: Any, future: Any) -> None:
+        before = disk.record
+        stored(self, machine, life, disk, future)
+        if before is not None and machine.began and self.now > 6 * closing_loss.SEC:
+            disk.record = before  # the disk said yes, and kept what it had
+
+    monkeypatch.setattr(Fleet, "stored", not_stored)
+    assert breaks()
