Laboratory: the scale run and its hollow nodes are taken out, at the operators' word

What measures single parts stays, with its line fit and sized configurations under own names, and its tests, unchanged but for names.

--- a/rampfront/cli/__init__.py
+++ b/rampfront/cli/__init__.py
@@ -13,7 +13,6 @@
 from . import journal, lab, lab_system, node, report
 
 app = typer.Typer(help=about, no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
-lab.app.add_typer(lab_system.scale_app)
 lab.app.add_typer(lab_system.app, name="system")
 app.add_typer(node.app)
 app.add_typer(lab.app, name="lab")
--- a/rampfront/lab/system/counts_cost.py
+++ b/rampfront/lab/system/counts_cost.py
@@ -17,7 +17,7 @@
 from ...quota.limiter import Limiter
 from ...quota.limits import QuotaRule
 from ...settings.configuration import Customer
-from .scale_fit import fit
+from .line_fit import fit
 
 MICRO, SEC = 1e6, 10**9
 TENANTS = 80, 800, 3200, 32000
--- a/rampfront/lab/system/scale_fit.py
+++ b/rampfront/lab/system/line_fit.py
@@ -1,4 +1,4 @@
-"""Slopes of the scale run: a straight line through a figure at several sizes, and where it leads. No I/O."""
+"""Slopes of costs: a straight line through a figure at several sizes, and where it leads. No I/O."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
--- a/rampfront/lab/system/request_cost.py
+++ b/rampfront/lab/system/request_cost.py
@@ -13,8 +13,8 @@
 
 from . import plan as plans
 from . import run as runs
+from .line_fit import fit
 from .plan import Experiment
-from .scale_fit import fit
 
 MICRO = 1e6
 ZONES = {"north-a": "north", "south-a": "south"}
--- /dev/null
+++ b/rampfront/lab/system/sized_configuration.py
@@ -0,0 +1,97 @@
+"""Configurations and lists of servers of a given size, for measurements of what single parts cost. No I/O."""
+
+import json
+from dataclasses import dataclass
+from random import Random
+
+REGIONS = 6
+ZONES = {f"z{number:02}": f"region-{number % REGIONS}" for number in range(23)}
+WEIGHT_TURN = 50  # weights that changes go through
+
+
+@dataclass(frozen=True)
+class Size:
+    """How many of each there are."""
+
+    routes: int = 40
+    tenants: int = 80
+    servers: int = 280
+    services: int = 20
+
+
+def configuration(size: Size, revision: int = 1) -> bytes:
+    """A configuration of that size; each revision differs from the one before by one weight."""
+    draw = Random(size.routes)
+    services = [f"service-{number:03}" for number in range(size.services)]
+
+    def rule(number: int) -> dict:
+        first, second = draw.sample(services, 2) if len(services) > 1 else (services[0], services[0])
+        weight = 50 + (revision % WEIGHT_TURN if number == 0 else 0)
+        return {
+            "Name": f"route-{number}",
+            "Type": "read_only",
+            "Target": "1000ms",
+            "Priority": number % 3,
+            "Public": False,
+            "MatchesWhen": {"PathStart": f"/{draw.getrandbits(40):010x}/{number}/"},
+            "ThenDo": {
+                "Shares": [{"Service": first, "Weight": weight}, {"Service": second, "Weight": 10}],
+                "GiveUp": "4000ms",
+                "Tries": 2,
+                "HomeRegions": [],
+            },
+        }
+
+    def tenant(number: int) -> dict:
+        return {
+            "Name": f"tenant-{number:05}",
+            "ApiKeys": [f"{draw.getrandbits(96):024x}", f"{draw.getrandbits(96):024x}"],
+            "Priority": number % 3,
+            "PerS": 5 + number % 45,
+            "Burst": 5 + number % 45,
+            "HomeRegions": [],
+        }
+
+    def service(name: str) -> dict:
+        return {
+            "Name": name,
+            "HealthPath": "/health",
+            "MaxConns": 130,
+            "Protocol": "h1",
+            "Tls": False,
+            "Warmup": "3s",
+            "ColdPerS": 2.8,
+        }
+
+    per_host = 100
+    rules = [rule(number) for number in range(size.routes)]
+    said = {
+        "Revision": f"r{revision}",
+        "Caps": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderWait": "3000ms", "Idle": "15000ms"},
+        "Customers": [tenant(number) for number in range(size.tenants)],
+        "Sockets": [
+            {"Hostname": f"host-{start // per_host}.example", "Rulebook": rules[start : start + per_host]}
+            for start in range(0, len(rules), per_host)
+        ],
+        "Groups": [service(name) for name in services],
+    }
+    return json.dumps(said, separators=(",", ":")).encode()
+
+
+def server_entries(size: Size) -> dict[str, tuple[dict, int]]:
+    """The platform's list: id to (entry, cold until)."""
+    zones, draw = list(ZONES), Random(size.servers)
+    return {
+        f"i-{draw.getrandbits(40):010x}": (
+            {
+                "Service": f"service-{number % size.services:03}",
+                "Address": f"127.100.{number // 250}.{number % 250 + 1}:{8000 + draw.randrange(900)}",
+                "Zone": zones[number % len(zones)],
+                "Revision": "v1",
+                "Capacity": 3,
+                "State": "ready",
+            },
+            0,
+        )
+        for number in range(size.servers)
+    }
