--- a/rampfront/consensus/member.py
+++ b/rampfront/consensus/member.py
@@ -114,6 +114,18 @@
         """What the leader knows of the core's members; None unless this member leads."""
         return self.roles.leader.strength(now) if self.roles.leader is not None else None
 
+    @property
+    def node_ips(self) -> list[str]:
+        """Of all nodes that this member knew lately, before its restart too."""
+        return self._persistent.node_ips
+
+    def remember_nodes(self, ips: list[str]) -> None:
+        """Keeps the addresses of all nodes that there are, for a leader that finds none behind a loss of power of all.
+
+        They go to disk with the next input.
+        """
+        self._persistent.remember_nodes(ips)
+
     # Inputs.
 
     def take(self, now: TimeNs, event: Input | None) -> list[Effect]:
--- a/rampfront/consensus/persistent_state.py
+++ b/rampfront/consensus/persistent_state.py
@@ -17,7 +17,7 @@
 from .context import MemberContext
 from .events import RecordStored, StateCommitted, StoreRecord
 from .identifiers import MS, Incarnation, MemberAddress, MemberKey, Term, TimeNs
-from .record import Record, decode_record, encode_record
+from .record import MAX_NODE_IPS, Record, decode_record, encode_record
 from .state import State, digest
 
 RETRY_NS = 200 * MS  # until a failed store is tried again
@@ -46,6 +46,7 @@
         self.entry: State | None = None  # the newest one
         self.committed: State | None = None  # the newest one known to be committed
         self.member_ips: list[str] = []  # where to ask, as another member said
+        self.node_ips: list[str] = []  # of all nodes that were known lately, the present ones first
         self.bodies = BodyHistory()  # that deltas may rest on
         self.version = 0
         self.durable = DurableVersion(0, 0, None)
@@ -126,6 +127,15 @@
         if self._context.settings.has_disk:
             self.version += 1
 
+    def remember_nodes(self, ips: list[str]) -> None:
+        """The nodes that there are now. Those of before are kept behind them, as far as there is room: they may come
+        back. Goes to disk at once if there is a new one."""
+        former = [ip for ip in self.node_ips if ip not in ips]
+        has_new = len(former) + len(ips) > len(self.node_ips)
+        self.node_ips = (ips + former)[:MAX_NODE_IPS]
+        if has_new:
+            self.version += 1
+
     # The disk.
 
     def next_store(self) -> StoreRecord | None:
@@ -156,6 +166,7 @@
             self.entry,
             [] if self.is_member() else self.member_ips,
             self._context.settings.name,
+            self.node_ips,
         )
         return encode_record(record)
 
@@ -166,6 +177,7 @@
         self.vote = record.vote
         self.entry = record.entry
         self.member_ips = record.member_ips
+        self.node_ips = record.node_ips
         if self.entry is not None and record.committed_position == self.entry.position:
             self.committed = self.entry
         self.durable = DurableVersion(0, self.term, self.entry)
--- a/rampfront/consensus/record.py
+++ b/rampfront/consensus/record.py
@@ -14,6 +14,7 @@
 from .version_history import VersionHistory, decode_history
 
 FORM = 1
+MAX_NODE_IPS = 1024
 MAX_OWNER_LETTERS = 80  # of a foreign record, in an error's text
 
 
@@ -21,7 +22,8 @@
     """What a member stores.
 
     `vote`: who it voted for in `term`. `committed_position`: of the newest entry known to be committed, or None.
-    `member_ips`: where to ask, if it is no member by `entry`. `owner`: whose record it is.
+    `member_ips`: where to ask, if it is no member by `entry`. `owner`: whose record it is. `node_ips`: of all nodes
+    that this one knew lately, members or not.
     """
 
     incarnation: Incarnation
@@ -31,6 +33,7 @@
     entry: State | None
     member_ips: list[str]
     owner: str
+    node_ips: list[str] = []
 
 
 def encode_record(record: Record) -> bytes:
@@ -48,8 +51,10 @@
         record.owner,
     ]
     claims = entry.encode_claims() if entry else None
-    if claims is not None:
+    if claims is not None or record.node_ips:
         columns.append(claims)
+    if record.node_ips:
+        columns.append(record.node_ips)
     return cbor2.dumps(columns)
 
 
@@ -64,8 +69,8 @@
         raise RecordError("record that does not read") from None
     match columns:
         case [form, incarnation, term, vote, committed, row, member_ips, *optional]:
-            absent = [None, owner, None][len(optional) :]  # the last columns, of an older record
-            last_columns = optional + absent
+            defaults: list[object] = [None, owner, None, []]  # the last columns, which an older record lacks
+            last_columns = [*optional, *defaults[len(optional) :]]
         case _:
             raise RecordError("record that does not read")
     if form != FORM:
@@ -81,9 +86,17 @@
         _decode_entry(row, last_columns[0], last_columns[2]),
         member_ips,
         owner,
+        _decode_node_ips(last_columns[3]),
     )
 
 
+def _decode_node_ips(ips: object) -> list[str]:
+    """The checked addresses. Raises RecordError."""
+    if type(ips) is not list or len(ips) > MAX_NODE_IPS or any(type(ip) is not str for ip in ips):
+        raise RecordError("addresses of nodes")
+    return ips
+
+
 def _decode_entry(row: object, versions: object, claims: object) -> State | None:
     """The stored entry. `versions`: its encoded history; None in an older record. `claims`: those on evacuated zones;
     None if there are none. Raises RecordError."""
--- a/rampfront/membership/dissemination.py
+++ b/rampfront/membership/dissemination.py
@@ -29,6 +29,7 @@
 from .leadership import CoreStatus, Leadership
 from .messages import Heartbeat, Message, StateResponse
 from .peers import Peer, PeerTable
+from .remembered_nodes import RememberedNodes
 from .responder import Responder
 from .roster import Roster, RosterEntry
 from .roster_builder import RosterBuilder
@@ -75,6 +76,7 @@
         self.schedule = HeartbeatSchedule(own.ip, seeds, random)
         self.responder = Responder(host, self.leadership, self.roster_replica)
         self._roster_builder = RosterBuilder(own, self.roster_replica, self.peer_table)
+        self._remembered = RememberedNodes()
         self._versions = NO_VERSIONS
         self._corrupt_parts: set[str] = set()  # keys of parts of which a difference came out wrong
 
@@ -134,6 +136,10 @@
         """The settings name other seeds from now on."""
         self.schedule.seeds = seeds
 
+    def remember_nodes(self, addresses: Iterable[str]) -> None:
+        """The disk held the addresses of these nodes; this one tells them of itself if it comes to lead."""
+        self._remembered.load(address for address in addresses if address != self._own.ip)
+
     def set_ready(self, ready: bool) -> None:
         """Whether this node takes requests; a change goes with a heartbeat at once."""
         if ready != self.ready:
@@ -163,9 +169,14 @@
             self.peer_table.reset(self.roster, self.versions, now)
         self.leadership.update(status, now)
         if begins_to_lead:
-            announcement = messages.encode_state_response(self.responder.update(self.versions, self.versions, now))
-            for ip in self.peer_table.by_ip:
-                self._host.send(ip, announcement)
+            self._remembered.begin(now)
+            self._announce(self.peer_table.by_ip, now)
+
+    def _announce(self, addresses: Iterable[str], now: int) -> None:
+        """Tells nodes that this one leads; they ask for what they lack."""
+        announcement = messages.encode_state_response(self.responder.update(self.versions, self.versions, now))
+        for ip in addresses:
+            self._host.send(ip, announcement)
 
     # ---- heartbeats
 
@@ -174,6 +185,8 @@
         self.responder.start_tick(now)
         if self.is_leader:
             self._refresh_roster(now)
+            if unheard := self._remembered.due(self.peer_table.by_ip, now):
+                self._announce(unheard, now)
         if not self.schedule.is_due(now):
             return
         in_contact = self.leadership.in_contact(now)
--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -163,6 +163,7 @@
         self.adapter.attach(
             self.disseminator, self.replicated_state, self.server_list, self.quota_exchange, self.readiness
         )
+        self.adapter.use_core(self.core)
         self.core.attach(self.order_executor, self.replicated_state, self.leadership)
         self.order_executor.attach(self.orders)
         self.quota_exchange.attach(self.request_proxy)
@@ -176,6 +177,7 @@
         if settings.data_folder:
             context.scheduler.use_disk_executor(self.ports.disk_executor(DISK_THREADS))
             self.core.recover(self.ports.record_store(settings.data_folder))
+            self.disseminator.remember_nodes(self.core.remembered_nodes)
             self.server_list.prepare_to_poll()
 
     def _make_poller(self, address: tuple[str, int]) -> Poller:
--- a/rampfront/node/core_driver.py
+++ b/rampfront/node/core_driver.py
@@ -103,6 +103,16 @@
         """Return what the leader knows of the core's members; None at all other nodes."""
         return self.member.core_strength(now) if self.member is not None else None
 
+    @property
+    def remembered_nodes(self) -> list[str]:
+        """Addresses of the nodes that the member's record names."""
+        return self.member.node_ips if self.member is not None else []
+
+    def remember_nodes(self, ips: list[str]) -> None:
+        """Keep the addresses of the nodes that there are beside the member's record."""
+        if self.member is not None:
+            self.member.remember_nodes(ips)
+
     def change_seeds(self, seeds: list[str]) -> None:
         """Take over the addresses that are asked first."""
         if self.member is not None:
--- a/rampfront/node/dissemination_adapter.py
+++ b/rampfront/node/dissemination_adapter.py
@@ -13,6 +13,7 @@
     from ..membership.dissemination import Disseminator
     from ..transport.frames import Message
     from .context import NodeContext
+    from .core_driver import CoreDriver
     from .quota_exchange import QuotaExchange
     from .readiness import Readiness
     from .replicated_state import ReplicatedState
@@ -28,6 +29,7 @@
         self.send_all = context.wire.send_all
         self._snapshots = context.snapshots
         self._disseminator: Disseminator
+        self._core: CoreDriver
         self._replicated_state: ReplicatedState
         self._server_list: ServerListService
         self._quota_exchange: QuotaExchange
@@ -48,6 +50,10 @@
         self._quota_exchange = quota_exchange
         self._readiness = readiness
 
+    def use_core(self, core: CoreDriver) -> None:
+        """Name the member of the core beside this node, which keeps the addresses of all nodes on its disk."""
+        self._core = core
+
     # ---- frames to the disseminator (heartbeats go to it directly)
 
     def on_state_response(self, ip: str, frame: Message, now: int) -> None:
@@ -88,6 +94,8 @@
         self._server_list.receive(packed, now)
 
     def on_roster(self) -> None:
-        """Take over how many proxies serve, and where the counter of quotas is."""
+        """Take over how many proxies serve, where the counter of quotas is, and whom to look for behind a restart."""
         count = max(1, sum(entry.ready for entry in self._disseminator.roster))
         self._quota_exchange.update_proxy_count(count)
+        if self._core.has_member:
+            self._core.remember_nodes([entry.ip for entry in self._disseminator.roster])
--- a/tests/test_closing_loss.py
+++ b/tests/test_closing_loss.py
@@ -25,6 +25,12 @@
     assert ClosingLossRun(11).play()[situation.__name__] == 1
 
 
+@pytest.mark.parametrize("seed", [1062, 1183, 1188])
+def test_nodes_whose_seeds_are_all_gone_are_found_by_the_leader(seed: int) -> None:
+    """The settings name one machine that was just replaced, and one that never was; no memory is left but on disks."""
+    assert ClosingLossRun(seed).play()["replaced_in_order"]
+
+
 def breaks(nodes: int = 8, disks: int = 4) -> str:
     """How one of some runs breaks; empty if none does."""
     for seed in PLANTED_SEEDS:
