--- a/rampfront/membership/leadership.py
+++ b/rampfront/membership/leadership.py
@@ -46,6 +46,7 @@
         self.confirmed_at_ns: int | None = None
         self._own_ip = own_ip
         self._answered_at_ns = 0  # when the leader last answered for now
+        self._heard_at_ns: int | None = None  # when this node asked what the leader last answered itself
 
     @property
     def had_response(self) -> bool:
@@ -56,6 +57,15 @@
         """Whether this node leads, or the leader has answered lately."""
         return self.is_leader or self.had_response and now - self._answered_at_ns < CONTACT_TIMEOUT_NS
 
+    def leader_silent_ns(self, now: int) -> int | None:
+        """For how long the leader itself has not answered this node; 0 at the leader, None: never in this process.
+
+        What is held may be younger, by way of other nodes; yet orders at this node cannot reach the leader.
+        """
+        if self.is_leader:
+            return 0
+        return None if self._heard_at_ns is None else max(0, now - self._heard_at_ns)
+
     def age_ns(self, now: int) -> int | None:
         """How long ago a majority stood behind what is held; None: never heard of."""
         return None if self.confirmed_at_ns is None else max(0, now - self.confirmed_at_ns)
@@ -69,6 +79,8 @@
             requested_at_ns: when this node asked.
             age_ns: how long before that a majority stood behind what came with the response.
         """
+        if sender == leader:
+            self._heard_at_ns = max(self._heard_at_ns or requested_at_ns, requested_at_ns)
         confirmed_at_ns = requested_at_ns - age_ns
         if self.confirmed_at_ns is None or confirmed_at_ns > self.confirmed_at_ns:
             self.confirmed_at_ns = confirmed_at_ns
@@ -99,3 +111,4 @@
         if status.confirmed_at_ns is not None:
             self.confirmed_at_ns = max(self.confirmed_at_ns or status.confirmed_at_ns, status.confirmed_at_ns)
             self._answered_at_ns = now
+            self._heard_at_ns = now
--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -142,7 +142,9 @@
 
     def build_lifecycle(self) -> None:
         """Make what acts on signals."""
-        self.settings_reloader = SettingsReloader(self.context, self.disseminator, self.core, self.server_list)
+        self.settings_reloader = SettingsReloader(
+            self.context, self.disseminator, self.core, self.server_list, self.request_proxy
+        )
         self.shutdown = Shutdown(self.context, self.core, self.disseminator, self.client_front, self.readiness)
 
     def join(self) -> None:
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -89,6 +89,25 @@
 
         self._orders.submit(OrderKind.READ, None, on_done)
 
+    @endpoint("POST", "/api/rpc", operation="evacuations.read")
+    def read_evacuations(self, request: IncomingRequest) -> None:
+        """Return the evacuated zones, and the number of the configuration, confirmed by a majority of the core."""
+
+        def on_done(outcome: str | None, state: State | None) -> None:
+            """Answer the caller."""
+            if outcome != Outcome.DONE or state is None:
+                reply(request, NO_ANSWER)
+                return
+            zones = sorted(state.evacuated_zones)
+            fields = {
+                "Revision": f"r{state.revision}" if state.revision else None,
+                "Emptied": zones,
+                "Evacuations": [evacuation_view(zone, state) for zone in zones],
+            }
+            reply(request, json_response(fields))
+
+        self._orders.submit(OrderKind.READ, None, on_done)
+
     @endpoint("POST", "/api/rpc", operation="empty.start")
     def start_evacuation(self, request: IncomingRequest) -> Response | None:
         """Take a zone's servers out of use."""
--- a/rampfront/node/lease.py
+++ b/rampfront/node/lease.py
@@ -50,6 +50,16 @@
             return max(0, now - self._started_at)
         return age if age > OUT_OF_TOUCH_AFTER_NS else None
 
+    def leader_silent_for(self, now: int) -> int | None:
+        """Return for how many ns the leader itself has not answered this node; None while it does.
+
+        The lease may be young all the same, through other nodes; orders at this node get 503 meanwhile.
+        """
+        silent = self._disseminator.leadership.leader_silent_ns(now)
+        if silent is None:
+            return max(0, now - self._started_at)
+        return silent if silent > OUT_OF_TOUCH_AFTER_NS else None
+
     def sample_age(self, now: int) -> None:
         """Note the age for the metrics."""
         age = self.age(now)
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -73,6 +73,7 @@
     "lease_valid": "1: what the node holds is young enough to let requests run.",
     "out_of_touch": "1: no majority of the core has stood behind what the node holds for 2.5 s.",
     "out_of_touch_seconds": "For how long that has been so; 0 while the node is in touch.",
+    "leader_silent_seconds": "For how long the leader itself has not answered this node; 0 up to 2.5 s.",
     "leads": "1: the node leads the core.",
     "shutting_down": "1: the node is shutting down.",
     "lease_duration_seconds": "Age of the lease past which no request runs.",
--- a/rampfront/node/metrics_page.py
+++ b/rampfront/node/metrics_page.py
@@ -100,6 +100,7 @@
     yield "lease_valid", node.lease.is_valid(now)
     yield "out_of_touch", out_of_touch_for is not None
     yield "out_of_touch_seconds", (out_of_touch_for or 0) / SEC
+    yield "leader_silent_seconds", (node.lease.leader_silent_for(now) or 0) / SEC
     yield "leads", node.disseminator.is_leader
     yield "shutting_down", node.shutdown.in_progress
     yield "lease_duration_seconds", node.lease.duration / SEC
--- a/rampfront/node/settings_reload.py
+++ b/rampfront/node/settings_reload.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from ..membership.dissemination import Disseminator
+    from ..proxy.request_proxy import RequestProxy
     from .context import NodeContext
     from .core_driver import CoreDriver
     from .server_list_service import ServerListService
@@ -29,12 +30,14 @@
         disseminator: Disseminator,
         core: CoreDriver,
         server_list: ServerListService,
+        request_proxy: RequestProxy,
     ) -> None:
         """Build it over the parts that take the new settings."""
         self._context = context
         self._disseminator = disseminator
         self._core = core
         self._server_list = server_list
+        self._request_proxy = request_proxy
         self._file_version: tuple[int, int, int] | None = None  # time of change (ns), size, inode, when last looked at
 
     def watch(self, path: str) -> None:
@@ -62,5 +65,7 @@
         if new.platform_address:
             self._server_list.move_platform(new.platform_address)
         # Only added to: other nodes may know a new zone by now, and one that is gone may yet be taken back.
-        self._context.process_settings.zones.update(new.zones)
+        zones = self._context.process_settings.zones
+        zones.update(new.zones)
+        self._request_proxy.apply_zones(zones)
         self._context.log.record(log_events.SETTINGS_RELOADED)
--- a/rampfront/node/status_views.py
+++ b/rampfront/node/status_views.py
@@ -109,10 +109,12 @@
     def _lease_fields(self, now: int) -> dict[str, Any]:
         lease = self._node.lease
         age = lease.age(now)
+        silent_for = lease.leader_silent_for(now)
         return {
             "WordAgeMs": None if age is None else max(0, age) // MS,
             "LeaseMs": lease.duration // MS,
             "Fresh": lease.is_valid(now),
+            "LeaderSilentMs": None if silent_for is None else silent_for // MS,
         }
 
     def _retry_budgets(self) -> dict[str, float]:
--- a/rampfront/operator_cli/control_answers.py
+++ b/rampfront/operator_cli/control_answers.py
@@ -49,6 +49,7 @@
             "Counts": dict,
         }
     ),
+    "evacuations.read": AnswerShape({"Revision": (str, NoneType), "Emptied": list}),
     "nodes.read": AnswerShape(
         {"Nodes": list},
         "Nodes",
--- a/rampfront/operator_cli/snapshot_commands.py
+++ b/rampfront/operator_cli/snapshot_commands.py
@@ -1,15 +1,18 @@
 """The commands `snapshot ...`: save what a running system has in force (its configuration and its evacuated zones) into
 one file, check such a file, and restore it through the operators' ordinary calls."""
 
+import asyncio
 import json
 from datetime import UTC, datetime
+from http import HTTPStatus
 from pathlib import Path
 
 import click
+from result import Ok
 
 from ..settings import configuration_reader
 from . import snapshot_file
-from .control_answers import Json, format_address
+from .control_answers import Json, Rejection, format_address
 from .errors import RejectedError, UsageError
 from .restore_plan import CurrentConfiguration, format_restore, plan_restore, with_revision
 from .session import Session, configuration_file, json_option, with_session
@@ -58,6 +61,7 @@
         if status["Leader"] is None:
             raise RejectedError("no node that answers leads the core, so what holds is not known: ask others with --at")
         revision = configuration_reader.read(body).map(lambda read: f"r{read.revision}").unwrap_or(None)
+        status |= _confirmed_evacuations(session)
         if revision is not None and status["Revision"] == revision:
             return body, status
     raise RejectedError(
@@ -65,6 +69,21 @@
     )
 
 
+def _confirmed_evacuations(session: Session) -> Json:
+    """The evacuated zones and the number of the configuration, as a majority of the core confirms them.
+
+    A status is one node's view: if the leader changes at that moment, it may lack the newest evacuation. Nothing from
+    nodes of earlier versions, which know no such call.
+    """
+    outcome = asyncio.run(session.client.call("evacuations.read"))
+    if isinstance(outcome, Ok):
+        document = outcome.ok_value.document
+        return {"Revision": document["Revision"], "Emptied": document["Emptied"]}
+    if isinstance(outcome.err_value, Rejection) and outcome.err_value.status == HTTPStatus.NOT_FOUND:
+        return {}
+    raise session.error_of(outcome.err_value, "evacuations.read")
+
+
 @snapshot.command()
 @configuration_file
 @json_option
--- a/rampfront/operator_cli/system_status.py
+++ b/rampfront/operator_cli/system_status.py
@@ -143,6 +143,12 @@
             f"{name} has been out of touch with the core for {format_duration(age_ms)}: what it shows may be old, "
             "and it answers orders with 503"
         )
+    elif report.get("LeaderSilentMs"):  # nodes of earlier versions do not report it
+        silent_for = format_duration(report["LeaderSilentMs"])
+        problems.append(
+            f"{name} has had no answer of the leader for {silent_for}, and is kept up to date by other nodes: it "
+            "answers orders with 503"
+        )
     problems += _node_problems(name, report, newest)
 
 
--- a/rampfront/proxy/request_proxy.py
+++ b/rampfront/proxy/request_proxy.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from .. import terms as t
@@ -110,6 +110,11 @@
         self.evacuated_zones = evacuated_zones
         self.update_endpoints()
 
+    def apply_zones(self, zones: Mapping[str, str]) -> None:
+        """The settings name these zones, each with its region: servers of new ones are sent to from now on."""
+        if self._home_zones.add(zones):
+            self.update_endpoints()
+
     def apply_proxy_count(self, proxy_count: int) -> None:
         """So many proxies share the budgets and the quotas."""
         if proxy_count != self.proxy_count:
--- a/rampfront/proxy/routing.py
+++ b/rampfront/proxy/routing.py
@@ -20,13 +20,21 @@
     """The zones whose servers may get a request, by the home regions of its route and its customer."""
 
     def __init__(self, zones: Mapping[str, str]) -> None:
-        """`zones`: each zone's region. A zone is known by its index in the order of names from here on."""
-        self.zone_index = {zone: index for index, zone in enumerate(sorted(zones))}
+        """`zones`: each zone's region. A zone is known by its index from here on: they are counted by name."""
+        self.zone_index: dict[str, int] = {}
         self._zones_by_region: dict[str, set[int]] = {}
-        for zone, region in zones.items():
-            self._zones_by_region.setdefault(region, set()).add(self.zone_index[zone])
         # Home regions of route and customer to the zones that they leave: a handful, emptied by each configuration.
         self._found: dict[tuple[frozenset[str], frozenset[str]], frozenset[int]] = {}
+        self.add(zones)
+
+    def add(self, zones: Mapping[str, str]) -> bool:
+        """Takes up zones that are new, each with its region. Returns whether there was one."""
+        new = sorted(zones.keys() - self.zone_index.keys())
+        for zone in new:
+            index = self.zone_index[zone] = len(self.zone_index)
+            self._zones_by_region.setdefault(zones[zone], set()).add(index)
+        self.clear()
+        return bool(new)
 
     def clear(self) -> None:
         """Forgets what was found under the former configuration."""
--- a/rampfront/simulation/isolation.py
+++ b/rampfront/simulation/isolation.py
@@ -46,6 +46,7 @@
     handlers = {
         "config": control.replace_configuration,
         "read": control.read_configuration,
+        "zones": control.read_evacuations,
         "empty": control.start_evacuation,
         "fill": control.finish_evacuation,
     }
--- a/tests/node/test_core_isolation.py
+++ b/tests/node/test_core_isolation.py
@@ -100,6 +100,45 @@
     assert all(read[0].body == other for read in reads)
 
 
+@pytest.mark.parametrize("who", ["follower", "diskless"])
+def test_a_node_cut_off_from_the_core_alone_tells_for_how_long_no_leader_answered_it(who):
+    """Its lease stays young through other nodes, and orders at it get 503 all the same."""
+    run = IsolationRun(operators=0)
+    run.go(SEC)
+    one = run.pick(who)
+    views = StatusViews(one.node_process)
+    assert json.loads(views.state(Asked({})).body)["LeaderSilentMs"] is None
+    pairs = run.cut([one], others=[machine for machine in run.fleet.core if machine is not one])
+    run.go(6 * SEC)
+    told = json.loads(views.state(Asked({})).body)
+    assert told["Fresh"] and told["OutOfTouchMs"] is None and 5000 <= told["LeaderSilentMs"] <= 7500
+    assert dict(gauges(one.node_process))["leader_silent_seconds"] == pytest.approx(
+        told["LeaderSilentMs"] / 1000, abs=0.1
+    )
+    asked = run.order("read", one)
+    run.go(SEC)
+    assert asked[0].status == 503
+    run.join(pairs)
+    run.go(3 * SEC)
+    assert json.loads(views.state(Asked({})).body)["LeaderSilentMs"] is None
+
+
+def test_evacuations_are_read_behind_a_confirmed_round():
+    run = IsolationRun(operators=0)
+    run.go(SEC)
+    emptied = run.order("empty", run.pick("diskless"), of="a1")
+    run.go(SEC)
+    old = run.leader()
+    reads = [run.order("zones", machine) for machine in (old, run.pick("diskless"))]
+    run.go(SEC)
+    assert emptied[0].status == 200
+    assert [json.loads(read[0].body)["Emptied"] for read in reads] == [["a1"], ["a1"]]
+    run.cut([old])
+    late = run.order("zones", old)
+    run.go(SEC)
+    assert late[0].status == 503
+
+
 @pytest.mark.parametrize("who", ["leader", "diskless"])
 def test_a_node_restarted_while_cut_off_answers_503(who):
     """What its disk holds is old, and it says nothing of it but that."""
--- a/tests/node/test_status_views.py
+++ b/tests/node/test_status_views.py
@@ -45,6 +45,7 @@
     node_process = SimpleNamespace(
         core=SimpleNamespace(step_down_if_overdue=lambda now: None, strength=lambda now: None, has_member=False),
         lease=SimpleNamespace(
+            leader_silent_for=lambda now: None,
             age=lambda now: None,
             duration=SEC,
             is_valid=lambda now: False,
--- a/tests/operator_cli/test_snapshots.py
+++ b/tests/operator_cli/test_snapshots.py
@@ -12,11 +12,13 @@
 def save_snapshot(scripted_nodes, tmp_path, data, code=0, emptied=(), **other):
     """A snapshot's file of a system that holds `data`, which is written with spaces that must come back."""
     body = json.dumps(data, indent=3).encode()
+    confirmed = other.pop("confirmed", None)
     scripted_nodes.put(
         A,
         config_read=(200, body),
         nodes_read=(200, {"Nodes": []}),
         state_read=(200, node_state(Revision=data["Revision"], Emptied=list(emptied), **other)),
+        evacuations_read=confirmed or (200, {"Revision": data["Revision"], "Emptied": list(emptied)}),
     )
     path = tmp_path / "system.snapshot"
     return path, body, scripted_nodes.run("snapshot", "save", str(path), code=code)
@@ -31,6 +33,22 @@
     assert (kept["Revision"], kept["Emptied"], kept["Step"]) == ("r7", ["z2"], 5) and len(scripted_nodes.asked) == asked
 
 
+def test_evacuations_are_those_that_a_majority_confirms(scripted_nodes, tmp_path):
+    """One node's view may lack the newest, if the leader changes at that moment."""
+    confirmed = (200, {"Revision": "r7", "Emptied": ["z1"]})
+    told = save_snapshot(scripted_nodes, tmp_path, configuration("r7"), confirmed=confirmed)[2]
+    assert "zones emptied: z1" in told
+    unsure = (503, {"Message": "the core gave no answer in time"})
+    told = save_snapshot(scripted_nodes, tmp_path, configuration("r7"), code=3, confirmed=unsure)[2]
+    assert "the core gave no answer" in told
+
+
+def test_evacuations_of_nodes_of_an_earlier_version_are_those_of_the_leader_s_view(scripted_nodes, tmp_path):
+    unknown = (404, {"Message": "no such call"})
+    told = save_snapshot(scripted_nodes, tmp_path, configuration("r7"), emptied=["z2"], confirmed=unknown)[2]
+    assert "zones emptied: z2" in told
+
+
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(strategies.data())
 def test_a_snapshot_that_was_changed_anywhere_is_rejected(data):
@@ -70,6 +88,7 @@
         config_read=[(200, configuration("r1")), (200, configuration("r2"))],
         nodes_read=(200, {"Nodes": []}),
         state_read=(200, node_state(Revision="r2", Emptied=["z1"])),
+        evacuations_read=(200, {"Revision": "r2", "Emptied": ["z1"]}),
     )
     scripted_nodes.run("snapshot", "save", str(tmp_path / "s"))
     assert (
