A response without a length is complete where its connection ends in order, and not where it is reset

The system's proxy took each small one for broken (502 for what may run once, a retry for a read), and the edge node's streams took a reset for the end.

Change: ServerConnection.eof_received completes a body that has neither length nor chunks; connection_lost completes nothing.

--- a/rampfront/net/server_connection.py
+++ b/rampfront/net/server_connection.py
@@ -263,7 +263,13 @@
         self.reader.close()
 
     def eof_received(self) -> bool:
-        """The server sends nothing more. Returns False, so that the loop closes."""
+        """The server sends nothing more, which completes a body without framing. Returns False: the loop closes.
+
+        A connection that is reset completes nothing: `connection_lost` comes alone then.
+        """
+        if self.state is AWAITING_RESPONSE and self.reader.ends_with_connection:
+            self.reader.keep_alive = False
+            self.conclude(True)
         return False
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/rampfront/net/server_response_reader.py
+++ b/rampfront/net/server_response_reader.py
@@ -111,6 +111,11 @@
             return "the answer never ends"
         return None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body of the present response has neither a length nor chunks (RFC 9112, section 6.3)."""
+        return self.head_complete and self.length is None and not self.chunked
+
     def should_keep_alive(self) -> bool:
         """Whether the server keeps the connection, as the parser sees it now."""
         return self._parser is not None and self._parser.should_keep_alive()
--- a/rampfront/net/streaming_connection.py
+++ b/rampfront/net/streaming_connection.py
@@ -52,11 +52,11 @@
             stream.abort()
         super().close()
 
-    def connection_lost(self, error: Exception | None) -> None:
-        """The connection has ended; so has a body that has neither a length nor chunks."""
-        if self.state is STREAMING and self.reader.length is None and not self.reader.chunked:
+    def eof_received(self) -> bool:
+        """The server sends nothing more, which completes a streamed body without framing too."""
+        if self.state is STREAMING and self.reader.ends_with_connection:
             self._end_stream()
-        super().connection_lost(error)
+        return super().eof_received()
 
     def stream_response(self, error: str | None) -> bool:
         """Streams what came of a large response. `error`: how it breaks the protocol. Returns False if it does not."""
--- a/tests/net/test_response_stream.py
+++ b/tests/net/test_response_stream.py
@@ -127,3 +127,17 @@
     s.pipes[where].feed("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000 + "HTTP/1.1 200 OK\r\n")
     assert s.log.counts["relayed"] == 1 and s.log.counts["settled"] == 1
     assert s.pipes[where].closed and not s.pipes["a"].closed
+
+
+def test_a_stream_without_a_length_is_complete_if_its_connection_ends_in_order():
+    """One that is reset on its way must not look complete."""
+    for ends_in_order in (True, False):
+        s = Stage()
+        s.ask(1)
+        source, client = s.pipes[s.out()], s.pipes["a"]
+        source.feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + "x" * 70000)
+        assert s.log.counts["relayed"] == 1 and not client.closed
+        if ends_in_order:
+            source.protocol.eof_received()
+        source.cut()
+        assert client.closed is not ends_in_order
