Cores of odd size: a successor takes the place of the one that goes in one step

Change: where the wanted size is odd, a newcomer stays a learner until a member is silent or shuts down, and is exchanged for it in one joint step. A zone's one operator must find it open behind his return.

--- a/rampfront/consensus/membership_change.py
+++ b/rampfront/consensus/membership_change.py
@@ -13,8 +13,8 @@
 - A member is a name with an incarnation. A lost disk means another incarnation, which takes the place of the old one in
   one step. An incarnation that was removed is never added again.
 - A member is removed only while the others number at least `wanted_size`, so never without a newcomer that has taken
-  its place before. It is one that is shutting down, or one that has been silent while a majority answered for
-  `SILENCE_NS`.
+  its place before, or takes it in the same step, as in a core of odd size. It is one that is shutting down, or one that
+  has been silent while a majority answered for `SILENCE_NS`.
 - Whether it is gone or cut off need not be known: the change is agreed by majorities of both lists, what was
   acknowledged lies on a majority of the new one, and one that was cut off returns as another incarnation.
 
@@ -32,6 +32,7 @@
 LONG_SILENCE_NS = 4 * SEC  # after which a silent one is removed before one that shuts down, which may come back
 UNANSWERED_NS = 600 * MS  # about two rounds
 LEARNER_TIMEOUT_NS = SEC  # a learner that is silent for so long is dropped; it asks to join each 0.28 s
+LEAST_EXCHANGED = 3  # members of a core of odd size; a single member has nobody to agree with
 MAX_LEARNERS = 16
 MAX_RETIRED = 4 * MAX_NAMES
 MAX_MEMBERS = MAX_NAMES // 2
@@ -163,7 +164,11 @@
         state, members = view.state, view.state.members
         # Guards a majority that is met barely: while one too many is in the list and some do not answer, another
         # newcomer would raise what a majority takes. It waits until the silent one is removed, or answers again.
-        is_crowded = len(members) > wanted_size(state, self._survive) and view.misses_answers()
+        wanted = wanted_size(state, self._survive)
+        is_crowded = len(members) > wanted and view.misses_answers()
+        # Where the wanted size is odd, a newcomer beside a member that is gone, or about to go, would raise what a
+        # majority takes. So it takes that one's place in one step, and stays a learner until it is known which it is.
+        is_odd = len(members) == wanted and wanted % 2 == 1 and wanted >= LEAST_EXCHANGED
         for learner in list(self.learners.values()):
             former = members.get(learner.name)
             with_learner = {**members, learner.name: learner.address}
@@ -175,40 +180,61 @@
                 if former is not None:
                     self._retire(former.incarnation)
                     return Step(with_learner, members, state.target_size)
+                if is_odd and not learner.counts_towards_size:
+                    return self._exchange(view, learner)
                 if len(members) < MAX_MEMBERS and not is_crowded:
                     return Step(with_learner, members, state.target_size + learner.counts_towards_size)
         return None
 
+    def _exchange(self, view: MembershipView, learner: Learner) -> Step | None:
+        """Adds a learner in the place of a member that is silent or shuts down; None while there is none."""
+        candidates = self._candidates(view, newcomers=1)
+        if not candidates:
+            return None
+        members = view.state.members
+        gone = max(candidates).name
+        self._retire(members[gone].incarnation)
+        others = {name: address for name, address in members.items() if name != gone}
+        return Step({**others, learner.name: learner.address}, members, view.state.target_size)
+
     def removal(self, view: MembershipView) -> Step | None:
         """Removes one member, if enough are left: one silent for long, one that shuts down, or else a silent one."""
         members = view.state.members
         if len(members) <= wanted_size(view.state, self._survive):
             return None
+        candidates = self._candidates(view)
+        if not candidates:
+            return None
+        gone = max(candidates).name
+        self._retire(members[gone].incarnation)
+        remaining = {name: address for name, address in members.items() if name != gone}
+        return Step(remaining, members, view.state.target_size)
+
+    def _candidates(self, view: MembershipView, newcomers: int = 0) -> list[RemovalCandidate]:
+        """The members that may be removed: those that are silent, and those that shut down and are not needed.
+
+        `newcomers`: that come in with the same step.
+        """
         candidates: list[RemovalCandidate] = []
-        for name, (_, incarnation) in members.items():
+        for name, (_, incarnation) in view.state.members.items():
             replica = view.replicas.get(MemberKey(name, incarnation))
             if replica is None:
                 continue
             silence = view.confirmed_at - max(replica.last_contact_at, view.first_committed_at)
-            may_leave = replica.is_shutting_down and self._bears_loss(view, name)
+            may_leave = replica.is_shutting_down and self._bears_loss(view, name, newcomers)
             if may_leave or silence >= SILENCE_NS:
                 candidates.append(RemovalCandidate(silence >= LONG_SILENCE_NS, may_leave, silence, name))
-        if not candidates:
-            return None
-        gone = max(candidates).name
-        self._retire(members[gone].incarnation)
-        remaining = {name: address for name, address in members.items() if name != gone}
-        return Step(remaining, members, view.state.target_size)
+        return candidates
 
-    def _bears_loss(self, view: MembershipView, without: str) -> bool:
+    def _bears_loss(self, view: MembershipView, without: str, newcomers: int) -> bool:
         """Whether those that answer and stay are a majority of the list without one member, which still answers, and
-        would be one if `survive` of them were lost at once."""
+        would be one if `survive` of them were lost at once. `newcomers`: beside them, in that list."""
         members = view.state.members
-        staying = 0
+        staying = newcomers
         for name, (_, incarnation) in members.items():
             answers = view.answers_and_stays(MemberKey(name, incarnation))
             staying += name != without and (answers or name == self._own.name)
-        return 2 * (staying - self._survive) > len(members) - 1
+        return 2 * (staying - self._survive) > len(members) - 1 + newcomers
 
     def _retire(self, incarnation: Incarnation) -> None:
         """Guards against a late request to join that would bring back an incarnation which was removed."""
--- a/rampfront/simulation/operators.py
+++ b/rampfront/simulation/operators.py
@@ -63,7 +63,7 @@
 
 
 class Operators:
-    """Needs the `fleet`, `chance`, `watch`, `calls`, `revs`, `zones_busy` and `history` of a run."""
+    """Needs the `fleet`, `chance`, `watch`, `calls`, `revs`, `zones_busy`, `restored_at` and `history` of a run."""
 
     def config(self, twice: bool = False, races: bool = False, machine: Machine | None = None) -> Call:
         """A new configuration: each holds a key of its own, and that of the one before. `twice`: another operator sends
@@ -114,6 +114,7 @@
         """One zone at a time, and each taken back before it is emptied anew."""
         if not self.zones_busy:
             self.zones_busy[zone] = ms
+            self.restored_at.pop(zone, None)
             self.call("empty", zone)
 
     def take_back(self, zone: str) -> None:
@@ -260,6 +261,7 @@
         if call.kind == "empty":
             self.after(self.zones_busy.get(call.body, 1000), self.take_back, call.body)
         elif call.kind == "fill":
+            self.restored_at[call.body] = self.fleet.now
             self.after(2000, self.free, call.body)
 
     def place_anywhere(self, call: Call) -> None:
--- a/rampfront/simulation/system_run.py
+++ b/rampfront/simulation/system_run.py
@@ -22,6 +22,7 @@
 MS, SEC = 10**6, 10**9
 LOOK = 250 * MS  # between two looks at what must hold all the while
 CALM = 6 * SEC  # within which an order must be acknowledged once all is well
+OPEN_WITHIN = 10 * SEC  # behind an acknowledged return: the time for which an order may be repeated, and its way
 SMALL = 20  # machines below which the core has four members
 LEFT_DOWN, SERVED = 0.3, 0.9  # the chance that some stay down in the calm; the part of requests served then
 LISTS = 2  # versions of the server list at once: one may be on its way
@@ -44,6 +45,7 @@
         self.calls, self.trap, self.acker, self.calm = [], None, None, False
         self.history, self.answer_loss = Recorder(), 0.0
         self.revs, self.sent, self.zones_busy = [], [], {}
+        self.restored_at: dict[str, int] = {}  # when the operator of a zone knew that it was taken back
         self.leaving = {}  # machine to the successor that runs already
         self.groups = [Group(zone, patience) for zone in ZONES for patience in (1, 1, 3)]
         self.tags, self.rates = 0, {"ann": 16, "two": 8, "low": 2, "hot": 7}
@@ -135,8 +137,21 @@
         fleet.counts["calm_ms_most"] = (call.done_at - sent) // MS
         fleet.run(sent + IN_TOUCH + APPLY + 2 * SEC)
         self.in_step(call)
+        self.zones_are_open()
         self.serves(3 * SEC)
 
+    def zones_are_open(self) -> None:
+        """No lost answer leaves a zone evacuated for ever: each has one operator, and opens behind his return."""
+        fleet = self.fleet
+        for zone, restored_at in self.restored_at.items():
+            kept = [
+                m.name for m in fleet.machines if m.up and zone in m.node_process.replicated_state.state.evacuated_zones
+            ]
+            if kept and fleet.now - restored_at > OPEN_WITHIN:
+                raise Broken(
+                    f"{zone} is evacuated at {kept}, and was taken back {(fleet.now - restored_at) / SEC:.1f} s ago"
+                )
+
     def end_faults(self) -> None:
         """Nothing is cut, slow or sick any more; those that were about to go for good are gone."""
         fleet = self.fleet
--- a/rampfront/simulation/world.py
+++ b/rampfront/simulation/world.py
@@ -5,6 +5,7 @@
 from functools import partial
 from heapq import heappop, heappush
 from random import Random
+from typing import NamedTuple
 
 import cbor2
 
@@ -22,6 +23,9 @@
 
 TICK = 100 * MS
 CATCH_UP = 4 * SEC
+REPORT_PAUSE = 300 * MS  # behind a report that was not taken
+CONNECTION_ENDS_AFTER = 10 * MS  # behind an answer that was read or lost, at the node
+ZONE_ORDERS = (OrderKind.EVACUATE, OrderKind.RESTORE)
 SILENCE = SEC  # behind which the operator turns to another node
 OPERATIONS = {
     OrderKind.CONFIGURE: Kind.CONFIGURE,
@@ -93,6 +97,19 @@
         self.inbox, self.offset, self.ruled, self.wiped_at, self.incarnation = [], 0, 0, -CATCH_UP, 0
 
 
+class Report(NamedTuple):
+    """What a node tells the core of the answer to an order on a zone; `left`: how often it may yet try."""
+
+    kind: OrderKind
+    body: tuple[str, int]
+    left: int = 20
+
+
+def order_identity(call, tries):
+    """Of one try of an order on a zone: each is an order of its own for the node that is asked."""
+    return (call.number + 1) * 1000 + tries if call.kind in ZONE_ORDERS else 0
+
+
 class Call:
     """One order of the operator, followed until it is done."""
 
@@ -407,7 +424,23 @@
     def hand(self, call, node, life, tries, operation):
         if node.up and node.life == life:
             call.open += 1
-            self.tell(node, events.Order((call, tries, operation), call.kind, call.body))
+            identity = order_identity(call, tries)
+            self.tell(node, events.Order((call, tries, operation), call.kind, call.body, identity))
+
+    def report(self, node, life, report):
+        """A node saw what became of an answer, and tells the core until that has taken it."""
+        if node is not None and node.up and node.life == life:
+            self.tell(node, events.Order(report, report.kind, report.body))
+
+    def told_of_report(self, node, report, outcome):
+        if outcome != Outcome.DONE and report.left:
+            self.at(self.now + REPORT_PAUSE, self.report, node, node.life, report._replace(left=report.left - 1))
+
+    def saw_end(self, node, life, call, tries, kind):
+        """The connection of an acknowledged order on a zone has ended."""
+        if call.kind in ZONE_ORDERS:
+            report = Report(kind, (call.body, order_identity(call, tries)))
+            self.at(self.now + CONNECTION_ENDS_AFTER, self.report, node, life, report)
 
     def missed(self, call, tries):
         if call.verdict is None and call.tries == tries:
@@ -415,6 +448,9 @@
 
     def told(self, node, effect):
         """A node has an answer, which may get lost on its way to the operator."""
+        if isinstance(effect.ref, Report):
+            self.told_of_report(node, effect.ref, effect.outcome)
+            return
         call, tries, operation = effect.ref
         call.open -= 1
         call.risky = call.risky or effect.outcome in (Outcome.DONE, Outcome.UNKNOWN)
@@ -426,14 +462,22 @@
             self.ledger.denied(call, effect.state)
         if not call.lossless and self.chance.random() < self.answer_loss:
             self.count("answers lost")
+            self.saw_end(node, node.life, call, tries, OrderKind.ANSWER_LOST)
         else:
-            self.at(self.now + self.chance.randrange(8 * MS), self.answered, call, tries, operation, effect)
+            way = self.chance.randrange(8 * MS)
+            self.at(self.now + way, self.answered, call, tries, operation, effect, node, node.life)
         if effect.outcome == Outcome.DONE and call.verdict is None and self.on_done is not None:
             self.on_done(node, call)
 
-    def answered(self, call, tries, operation, effect):
-        """The operator has an answer."""
+    def answered(self, call, tries, operation, effect, node, life):
+        """The operator has an answer. Of an order on a zone he reads none to a try from which he has turned away."""
         state = effect.state
+        if call.kind in ZONE_ORDERS and (call.tries != tries or effect.outcome != Outcome.DONE):
+            self.saw_end(node, life, call, tries, OrderKind.ANSWER_LOST)
+        else:
+            self.saw_end(node, life, call, tries, OrderKind.ANSWER_DELIVERED)
+        if call.kind in ZONE_ORDERS and call.tries != tries:
+            return
         if effect.outcome == Outcome.DONE and call.kind == OrderKind.READ:
             self.history.end_read(
                 operation, self.now, state.revision, state.body if state.revision else b"", state.evacuated_zones
--- a/tests/consensus/test_machine_replacement.py
+++ b/tests/consensus/test_machine_replacement.py
@@ -31,6 +31,38 @@
     assert not core.members().keys() & {f"front-{number}" for number in range(1, members + 1)}
 
 
+@pytest.mark.parametrize("members, survive", [(3, 1), (5, 2)])
+@pytest.mark.parametrize("planned", [False, True])
+def test_in_a_core_of_odd_size_a_successor_takes_the_place_of_the_one_that_goes(
+    members: int, survive: int, planned: bool
+) -> None:
+    """One more in the list would raise what a majority takes, and the successor's disk may be lost at once."""
+    core = site(members, survive)
+    gone = core.others(core.leader)[0]
+    successor = core.newcomer()
+    if planned:
+        core.start(successor)
+        core.go(SEC)
+        core.tell(gone, events.Shutdown())
+    else:
+        core.lose(gone)
+        core.go(SEC)
+        core.start(successor)
+    while successor.name not in core.members():
+        assert len(core.members()) == members
+        core.go(10 * MS)
+    assert len(core.members()) == members and gone.name not in core.members()
+    if planned:
+        core.lose(gone)
+    for node in core.nodes:
+        core.stop(node, power=True)
+    core.wipe(successor)
+    for node in core.nodes:
+        core.start(node)
+    core.go(3 * SEC)
+    core.change(2)
+
+
 @pytest.mark.parametrize("members", [6, 8])
 def test_two_are_replaced_at_once(members: int) -> None:
     core = site(members, 2)
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -32,6 +32,7 @@
 from rampfront.settings import configuration_reader
 from rampfront.simulation.schedule import Run
 from rampfront.simulation.system_run import SystemRun
+from rampfront.simulation.world import Report
 
 Step: TypeAlias = Callable[[str, int, str, str, bytes], None]  # kind, time (ns), from, to, bytes
 COMPRESSED = b"\x78"  # the first byte of a compressed frame; no map of CBOR begins with it
@@ -74,14 +75,19 @@
         store(node, effect)
 
     def answering(node: Any, effect: Any) -> None:
-        call = effect.ref[0]
-        step("answer", world.now, node.name, f"{call.number} {call.kind}", answer_of_core(effect))
+        name = f"report {effect.ref.kind}" if isinstance(effect.ref, Report) else call_name(effect.ref[0])
+        step("answer", world.now, node.name, name, answer_of_core(effect))
         answer(node, effect)
 
     world.send, world.store, world.told = sending, storing, answering
     run.play()
 
 
+def call_name(call: Any) -> str:
+    """Of an operator's order."""
+    return f"{call.number} {call.kind}"
+
+
 def play_whole(seed: int, step: Step, nodes: int = 11) -> None:
     """Plays a run of whole nodes with clients, servers and operators; `step` gets all bytes between machines, those of
     connections to and from servers and clients too, all that is stored, and the answers to operators."""
