--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -24,6 +24,7 @@
 ORDER_KIND = "o"
 BODY = "b"
 IDENTITY = "i"
+REPORT = "w"
 OUTCOME = "v"
 STATE = "S"
 
@@ -34,7 +35,8 @@
 OUTCOMES = frozenset((Outcome.DONE, Outcome.NOT_LEADER, Outcome.REJECTED, Outcome.UNKNOWN, Outcome.CONFLICT, BUSY))
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they rest on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of a configuration's order
-REPORT_FIELDS = ("zone", "identity")  # of the body of a report on an answer
+REPORT_KINDS = (OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST)
+REPORT_FIELDS = ("kind", "zone", "identity")  # of a report on an answer, as it stands on the wire
 INCARNATION_BITS = 32
 INCARNATION_LIMIT = 1 << INCARNATION_BITS
 LARGEST_NUMBER = 1 << 53  # what JSON readers of other languages keep exactly
@@ -77,8 +79,12 @@
         return None
 
     def encode(self) -> Message:
-        """Return the frame for the transport."""
-        frame = {
+        """Return the frame for the transport.
+
+        A report goes as a read with one key more: a leader of an older version takes it for a read, which changes
+        nothing, and not for a frame that is not valid.
+        """
+        frame: Message = {
             FRAME_KIND: REQUEST_FRAME,
             INCARNATION: self.incarnation,
             NUMBER: self.number,
@@ -87,16 +93,20 @@
         }
         if self.identity:
             frame[IDENTITY] = self.identity
+        if self.kind in REPORT_KINDS and isinstance(self.body, tuple):
+            frame |= {ORDER_KIND: str(OrderKind.READ), BODY: None, REPORT: [str(self.kind), *self.body]}
         return frame
 
     @classmethod
     def decode(cls, frame: Message) -> Self:
         """Check a frame and return its message. Raises MalformedMessageError."""
+        incarnation, number = decode_identity(frame)
+        if REPORT in frame:
+            return cls(incarnation, number, *_check_report(frame[REPORT]))
         kind = frame.get(ORDER_KIND)
         if type(kind) is not str or kind not in BODY_CHECKS:
             raise MalformedMessageError("order: kind")
         check_body = BODY_CHECKS[kind]
-        incarnation, number = decode_identity(frame)
         return cls(incarnation, number, kind, check_body(frame.get(BODY)), _check_order_identity(frame))
 
 
@@ -181,13 +191,16 @@
     return identity
 
 
-def _check_report(body: object) -> tuple[str, int]:
-    if not isinstance(body, (list, tuple)) or len(body) != len(REPORT_FIELDS):
-        raise MalformedMessageError("order: a report is a zone and an identity")
-    zone, identity = body
+def _check_report(fields: object) -> tuple[str, tuple[str, int]]:
+    """The kind and the body of a report."""
+    if not isinstance(fields, (list, tuple)) or len(fields) != len(REPORT_FIELDS):
+        raise MalformedMessageError("order: a report is a kind, a zone and an identity")
+    kind, zone, identity = fields
+    if kind not in REPORT_KINDS:
+        raise MalformedMessageError("order: kind of a report")
     if type(identity) is not int or not 0 < identity < IDENTITY_LIMIT:
         raise MalformedMessageError("order: identity")
-    return _check_zone(zone), identity
+    return kind, (_check_zone(zone), identity)
 
 
 def _check_empty(body: object) -> None:
@@ -200,6 +213,4 @@
     OrderKind.EVACUATE: _check_zone,
     OrderKind.RESTORE: _check_zone,
     OrderKind.READ: _check_empty,
-    OrderKind.ANSWER_DELIVERED: _check_report,
-    OrderKind.ANSWER_LOST: _check_report,
 }
--- a/tests/node/test_order_messages.py
+++ b/tests/node/test_order_messages.py
@@ -1,5 +1,6 @@
 """The messages of orders: what is malformed is found at one place, and goes no further."""
 
+import cbor2
 import pytest
 from node_fixtures import CALLER, LEADER, NodeHarness, committed_state
 
@@ -70,3 +71,29 @@
     for odd in ({"o": "rm"}, {"r": "7"}, {"l": None}, {"b": 5}, {"o": "config"}, {"o": "read"}):
         with pytest.raises(ValueError):
             node_process.frame_dispatcher.dispatch("10.1.0.7", order | odd)
+
+
+@pytest.mark.parametrize("kind", [OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST])
+def test_a_report_is_read_back_and_is_a_read_to_leaders_of_older_versions(kind):
+    report = OrderRequest(1, 2, kind, ("hall", 77))
+    frame = cbor2.loads(cbor2.dumps(report.encode()))
+    assert OrderRequest.decode(frame) == report
+    older = {key: value for key, value in frame.items() if key != "w"}
+    assert OrderRequest.decode(older) == OrderRequest(1, 2, OrderKind.READ, None)
+
+
+@pytest.mark.parametrize(
+    "odd", [None, [], ["got", "hall"], ["read", "hall", 7], ["got", "", 7], ["lost", "hall", 0], ["got", 7, 7]]
+)
+def test_a_report_that_is_not_valid_is_refused(odd):
+    frame = OrderRequest(1, 2, OrderKind.READ, None).encode() | {"w": odd}
+    with pytest.raises(MalformedMessageError):
+        OrderRequest.decode(frame)
+
+
+@pytest.mark.parametrize("odd", [-1, "7", 1 << 53, None, True])
+def test_an_order_whose_identity_is_not_valid_is_refused(odd):
+    frame = OrderRequest(1, 2, OrderKind.EVACUATE, "hall", 7).encode()
+    assert OrderRequest.decode(frame).identity == 7
+    with pytest.raises(MalformedMessageError):
+        OrderRequest.decode(frame | {"i": odd})
