Identities of orders on zones are drawn apart from the orders' numbers

Cause: second reading: an order that was turned away as one too many left its identity to the next one, so a late report on the first could fall on the second's claim.

Change: identities are counted by themselves.

--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -30,6 +30,7 @@
 RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # the node asked has said that it does not lead
 MAX_OPEN = 256  # orders of this node under way
 NUMBER_BITS = 20  # of an order's identity; the others are the incarnation's
+MAX_IDENTITIES = (1 << NUMBER_BITS) - 1
 
 
 class OrderSubmitter:
@@ -50,13 +51,18 @@
         self._disseminator = disseminator
         self._executor = executor
         self._number = 0  # of the last order
+        self._identities = 0  # given out
         # Another one at each start: no reply to a former incarnation is taken for one to this.
         self.incarnation = context.rng.getrandbits(INCARNATION_BITS)
         self.open: dict[int, OpenOrder] = {}  # by number; emptied by answers and by time
 
     def next_identity(self) -> int:
-        """Return the identity for an order on a zone that is submitted next: no other order has the same."""
-        return (self.incarnation << NUMBER_BITS | (self._number + 1) % (1 << NUMBER_BITS)) or 1
+        """Return the identity for an order on a zone: no other order has the same, not even one that was turned away.
+
+        Guards a claim against a late report on an order that never reached the core.
+        """
+        self._identities = self._identities % MAX_IDENTITIES + 1
+        return self.incarnation << NUMBER_BITS | self._identities
 
     def submit(self, kind: str, body: OrderBody, on_done: OrderCallback, identity: int = 0) -> None:
         """Take an order from an operator, or a report on an answer. `on_done` is called once, within ANSWER_WITHIN_NS.
--- a/tests/node/test_order_submitter.py
+++ b/tests/node/test_order_submitter.py
@@ -2,7 +2,10 @@
 
 from node_fixtures import LEADER, OTHER, NodeHarness, receive_update
 
+from rampfront.consensus.evacuation_claims import IDENTITY_LIMIT
 from rampfront.consensus.events import OrderKind, Outcome
+from rampfront.node.order_messages import BUSY
+from rampfront.node.order_submitter import MAX_OPEN
 
 
 def test_an_order_is_resent_until_the_leader_answers(node_process):
@@ -85,3 +88,15 @@
 def test_each_start_draws_an_incarnation_of_its_own():
     incarnations = {NodeHarness(seed=seed).orders.incarnation for seed in range(5)}
     assert len(incarnations) == 5
+
+
+def test_no_two_orders_have_one_identity_even_if_one_was_turned_away(node_process):
+    """A late report on the one that never reached the core would fall on the other."""
+    orders, done = node_process.orders, []
+    for _ in range(MAX_OPEN):
+        orders.submit("read", None, lambda *outcome: None)
+    turned_away = orders.next_identity()
+    orders.submit("empty", "a1", lambda *outcome: done.append(outcome), turned_away)
+    assert done == [(BUSY, None)]
+    identities = {turned_away, *(orders.next_identity() for _ in range(1000))}
+    assert len(identities) == 1001 and all(0 < each < IDENTITY_LIMIT for each in identities)
