--- a/rampfront/consensus/evacuations.py
+++ b/rampfront/consensus/evacuations.py
@@ -38,7 +38,7 @@
     returned: bool = False
     claims: Claims = ()
 
-    def has_counted(self, identity: int) -> bool:
+    def has_claim(self, identity: int) -> bool:
         """Whether the order of that identity is among the claims."""
         return bool(identity) and evacuation_claims.find(self.claims, identity) is not None
 
@@ -69,7 +69,7 @@
         first = Evacuation(claims=evacuation_claims.with_new((), identity))
         return ZoneChange(zones | {zone}, _updated(evacuations, zone, first))
     before = evacuations.get(zone, SINGLE_OPERATOR)
-    if before.has_counted(identity):
+    if before.has_claim(identity):
         return ZoneChange(zones, evacuations)
     return ZoneChange(zones, _updated(evacuations, zone, _evacuated_again(before, may_be_repeat, identity)))
 
--- a/rampfront/consensus/membership_change.py
+++ b/rampfront/consensus/membership_change.py
@@ -191,11 +191,15 @@
         candidates = self._candidates(view, newcomers=1)
         if not candidates:
             return None
+        remaining = self._without_first(view, candidates)
+        return Step({**remaining, learner.name: learner.address}, view.state.members, view.state.target_size)
+
+    def _without_first(self, view: MembershipView, candidates: list[RemovalCandidate]) -> dict[str, MemberAddress]:
+        """The members but the candidate that goes first, which may never come back as it was."""
         members = view.state.members
         gone = max(candidates).name
         self._retire(members[gone].incarnation)
-        others = {name: address for name, address in members.items() if name != gone}
-        return Step({**others, learner.name: learner.address}, members, view.state.target_size)
+        return {name: address for name, address in members.items() if name != gone}
 
     def removal(self, view: MembershipView) -> Step | None:
         """Removes one member, if enough are left: one silent for long, one that shuts down, or else a silent one."""
@@ -205,10 +209,7 @@
         candidates = self._candidates(view)
         if not candidates:
             return None
-        gone = max(candidates).name
-        self._retire(members[gone].incarnation)
-        remaining = {name: address for name, address in members.items() if name != gone}
-        return Step(remaining, members, view.state.target_size)
+        return Step(self._without_first(view, candidates), members, view.state.target_size)
 
     def _candidates(self, view: MembershipView, newcomers: int = 0) -> list[RemovalCandidate]:
         """The members that may be removed: those that are silent, and those that shut down and are not needed.
