Refusals name their evidence: grounds of non-execution, counters, the latest refusals in the log

Cause: the log could not tell the hypotheses of the incident apart. `declined` and `unseen` count rejections, missing connections and time that was over alike, and nothing told on which connection a rejected attempt had been sent.

No decision changes.

--- a/rampfront/net/server_connection.py
+++ b/rampfront/net/server_connection.py
@@ -7,8 +7,9 @@
                                   +--too large to buffer--> STREAMING --complete--> IDLE
 
 Each state may change to CLOSED; `streaming_connection.py` implements STREAMING. Every submission ends exactly once, in
-`finish`, with an outcome: CONNECT_FAILED and NOT_ACCEPTED mean that the server has not run it, DONE and ERROR that it
-has; with all others it may have run. Bytes in the kernel's or the transport's buffer count as sent.
+`finish`, with an outcome: DONE and ERROR mean that the server has run it, CONNECT_FAILED and NOT_ACCEPTED that it has
+not; with all others it may have run. Only `finish_unexecuted` concludes that it has not run, and it records the ground.
+Bytes in the kernel's or the transport's buffer count as sent.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 from .exchange import ExchangeT
 from .http_status import INTERNAL_SERVER_ERROR, OK
 from .limits import NetworkLimits
+from .non_execution import NonExecution
 from .server import Server
 from .server_response_reader import ServerResponseReader
 from .socket_calls import has_unread_input, shut_down
@@ -92,6 +94,7 @@
         attempt: the number of the submission within its exchange.
         sent_at_ns: when the submission or health check began.
         idle_since_ns: when it became idle.
+        non_execution: why the submission counts as not run; None while it may have run.
     """
 
     __slots__ = (
@@ -104,6 +107,7 @@
         "attempt",
         "sent_at_ns",
         "idle_since_ns",
+        "non_execution",
         "_connect_task",
         "_due_ns",
         "_timer",
@@ -121,6 +125,7 @@
         self.attempt = 0
         self.sent_at_ns = 0
         self.idle_since_ns = 0
+        self.non_execution: NonExecution | None = None
         self._connect_task: asyncio.Task[Any] | None = None
         self._due_ns = 0  # the time at which the submission or health check times out
         self._timer: Timer | None = None
@@ -144,6 +149,7 @@
         self.exchange = exchange
         self.attempt = attempt
         self.sent_at_ns = now_ns
+        self.non_execution = None
         if exchange:
             exchange.submissions[attempt] = self
         self._due_ns = now_ns + timeout_ns
@@ -187,6 +193,11 @@
         else:
             pool.health_check_ended(self, outcome, duration_ns, report)
 
+    def finish_unexecuted(self, ground: NonExecution, keep: bool = False) -> None:
+        """Ends a submission that the server has not run. `keep`: whether the connection may be used again."""
+        self.non_execution = ground
+        self.finish(ground.outcome, keep)
+
     def submission_end(self, exchange: ExchangeT, outcome: int, duration_ns: int) -> SubmissionEnd[ExchangeT]:
         """Returns the report to the driver on a submission that ended with `outcome` after `duration_ns`."""
         reader = self.reader
@@ -205,12 +216,16 @@
         """Ends the submission with its complete response. `intact`: no protocol error follows the response."""
         self.reader.complete = False
         status = self.reader.status
+        keep = intact and self.reader.keep_alive
+        if self.reader.not_run and status in _NOT_RUN_STATUSES:
+            self.finish_unexecuted(NonExecution.REJECTED, keep)
+            return
         outcome = _OUTCOMES.get(status)
         if outcome is None:
-            outcome = t.NOT_ACCEPTED if self.reader.not_run and status in _NOT_RUN_STATUSES else t.ERROR
+            outcome = t.ERROR
             if status not in _NOT_RUN_STATUSES:
                 self.pool.log.record_limited("odd status", self.server.uid, status=status)
-        self.finish(outcome, intact and self.reader.keep_alive)
+        self.finish(outcome, keep)
 
     def protocol_broken(self, reason: str) -> None:
         """Handles a protocol error of the server: the submission may have run, and the connection is closed."""
@@ -250,7 +265,7 @@
         if self.state is not CONNECTING:
             self.transport.abort()
         elif not self.server.up:  # it began to drain during the connect, and may get no more submissions
-            self.finish(t.NOT_ACCEPTED)
+            self.finish_unexecuted(NonExecution.DELISTED)
         else:
             self._send(self._due_ns - self.pool.clock())
 
@@ -315,12 +330,12 @@
         if task.cancelled() or task.exception() is None or self.state is not CONNECTING:
             return
         self.pool.counts["connects_failed"] += 1
-        self.finish(t.CONNECT_FAILED)
+        self.finish_unexecuted(NonExecution.CONNECT_FAILED)
 
     def _send(self, remaining_ns: int) -> None:
         """Writes the submission or health check, which times out in `remaining_ns`."""
         if remaining_ns <= 0:
-            self.finish(t.NOT_ACCEPTED)
+            self.finish_unexecuted(NonExecution.EXPIRED)
             return
         assert self.transport is not None
         self.state = AWAITING_RESPONSE
@@ -355,7 +370,7 @@
         """Handles the timeout of the connect, of the submission, or of a response that has begun."""
         self._timer = None
         if self.state is not AWAITING_RESPONSE:
-            self.finish(t.CONNECT_FAILED)
+            self.finish_unexecuted(NonExecution.CONNECT_TIMED_OUT)
         elif self.reader.received_bytes:
             self.protocol_broken("the response stalled")
         else:
--- a/rampfront/net/server_connection_pool.py
+++ b/rampfront/net/server_connection_pool.py
@@ -14,6 +14,7 @@
 from .event_log import EventLog
 from .exchange import ExchangeT
 from .limits import NetworkLimits
+from .non_execution import NonExecution
 from .server import Server
 from .server_connection import ServerConnection
 from .server_response import Report, parse_report
@@ -107,11 +108,16 @@
         """Sends a submission with a timeout of `timeout_ns`. Its end is always reported to the driver."""
         connection = self.connection_to(index)
         if connection is None:
-            self.counts["unseen"] += 1
-            self.driver.submission_ended(SubmissionEnd(exchange, attempt, index, t.NOT_ACCEPTED, duration_ns=0))
+            self.end_unsent(exchange, attempt, index)
         else:
             connection.begin(exchange, attempt, timeout_ns)
 
+    def end_unsent(self, exchange: ExchangeT, attempt: int, index: int) -> None:
+        """Ends a submission for which there is no connection."""
+        self.counts["unseen"] += 1
+        outcome = NonExecution.NO_CONNECTION.outcome
+        self.driver.submission_ended(SubmissionEnd(exchange, attempt, index, outcome, duration_ns=0))
+
     def cancel(self, exchange: ExchangeT, attempt: int) -> None:
         """Cancels a submission, if it is still in flight."""
         if submission := exchange.submissions.get(attempt):
--- a/rampfront/node/__main__.py
+++ b/rampfront/node/__main__.py
@@ -1,8 +1,8 @@
 """`python -m rampfront.node`: runs one process of the system with the settings file at the path in RAMPFRONT_SETTINGS.
 
 SIGTERM and SIGINT shut it down gracefully, with exit status 0. SIGHUP reads the settings again and applies the
-platform's address, the seeds and new zones. SIGUSR1 prints the counters. If the settings file is invalid, the process
-prints the error on standard error and exits with status 2.
+platform's address, the seeds and new zones. SIGUSR1 prints the latest refusals and the counters. If the settings file
+is invalid, the process prints the error on standard error and exits with status 2.
 """
 
 from __future__ import annotations
@@ -16,7 +16,6 @@
     from asyncio import AbstractEventLoop
     from collections.abc import Awaitable, Callable
 
-    from .log import Log
     from .node_process import NodeProcess
 
 os.environ.setdefault("UV_USE_IO_URING", "0")  # must be set before the loop is created; some machines lack io_uring
@@ -58,20 +57,20 @@
     node.settings_reloader.watch(path)
     gc.collect()
     gc.freeze()  # exempts the objects created at startup from garbage collection
-    handle_signals(loop, node, log, path)
+    handle_signals(loop, node, path)
     loop.run_forever()
-    log.record_counters("end")
+    node.record_diagnostics("end")
     return EXIT_OK
 
 
-def handle_signals(loop: AbstractEventLoop, node: NodeProcess, log: Log, settings_path: str) -> None:
+def handle_signals(loop: AbstractEventLoop, node: NodeProcess, settings_path: str) -> None:
     """Connect the process' signals to their handlers."""
     import signal
 
     loop.add_signal_handler(signal.SIGTERM, node.shutdown.begin)
     loop.add_signal_handler(signal.SIGINT, node.shutdown.begin)
     loop.add_signal_handler(signal.SIGHUP, node.settings_reloader.reload, settings_path)
-    loop.add_signal_handler(signal.SIGUSR1, log.record_counters, "signal")
+    loop.add_signal_handler(signal.SIGUSR1, node.record_diagnostics, "signal")
 
 
 if __name__ == "__main__":
--- a/rampfront/node/log_events.py
+++ b/rampfront/node/log_events.py
@@ -30,6 +30,12 @@
 NOT_READY = LogEvent("not ready", "warning", "", "the node asks for no more clients: no lease, no server, or it ends")
 SHUTDOWN_STARTED = LogEvent("shutting down", "info", "", "SIGTERM came: clients are served on, then the process ends")
 TOTALS = LogEvent("totals", "info", "why", "every counter, on SIGUSR1 and at the end")
+REFUSAL = LogEvent(
+    "refusal",
+    "info",
+    "try attempts age_ms",
+    "with `totals`: a 503 to a request that had been written to servers; `attempts`: server/connection:ground of each",
+)
 INTERNAL_ERROR = LogEvent(
     "internal error", "error", "party error", "a defect in an operator's call (`party`: its path)"
 )
--- a/rampfront/node/node_process.py
+++ b/rampfront/node/node_process.py
@@ -93,6 +93,18 @@
         self.context.log.sweep()
         self.request_proxy.sweep()
 
+    def record_diagnostics(self, reason: str) -> None:
+        """Log the latest refusals and all counters. `reason`: why they are written now."""
+        now = self.context.clock()
+        for refusal in self.request_proxy.refusals:
+            self.context.log.record(
+                log_events.REFUSAL,
+                **{"try": refusal.try_id.decode("latin-1")},
+                attempts=",".join(map(str, refusal.attempts)),
+                age_ms=(now - refusal.refused_at_ns) // MS,
+            )
+        self.context.log.record_counters(reason)
+
     def close(self) -> None:
         """Stop all timers, polls and listeners. For a process that runs several nodes; a single node just exits."""
         self.context.scheduler.close()
--- a/rampfront/proxy/request.py
+++ b/rampfront/proxy/request.py
@@ -22,6 +22,7 @@
 from ..settings.configuration import Customer, Route
 from .attempt_policy import READ_ONLY
 from .outcomes import LocalResponse
+from .refusal_log import UnexecutedAttempt
 from .server_response import ServerResponse
 
 HeaderLine = tuple[bytes, bytes]  # a field's name in lower case, and the complete field as received, with its line end
@@ -128,9 +129,10 @@
         once_only: whether it must not be sent to a second server once one may have executed it.
         state: its state; changed by `apply`.
         failure_response: the last failure response of a server.
+        unexecuted_attempts: the attempts that ended and were certainly not executed.
     """
 
-    __slots__ = ("admission", "driver", "once_only", "state", "failure_response")
+    __slots__ = ("admission", "driver", "once_only", "state", "failure_response", "unexecuted_attempts")
 
     def __init__(
         self, client: RequestingClient, admission: Admission, handle: "ProductHandle", head: bytes, body: bytes
@@ -143,6 +145,7 @@
         self.once_only = admission.route.request_type != READ_ONLY
         self.state = _UNEXECUTED
         self.failure_response: ServerResponse | None = None
+        self.unexecuted_attempts: tuple[UnexecutedAttempt, ...] = ()
 
     def apply(self, event: RequestEvent) -> None:
         """Changes the state according to the table of transitions."""
@@ -158,6 +161,10 @@
         """The failure response that is returned if no better one arrives."""
         return self.failure_response if self.state is RequestState.FAILURE_RETAINED else None
 
+    def used_connection(self, connection: int) -> bool:
+        """Whether an earlier attempt, which was not executed, was made on the connection with this number."""
+        return any(attempt.connection == connection for attempt in self.unexecuted_attempts)
+
     def retain_failure(self, response: ServerResponse) -> None:
         """Keeps a server's failure response: the last one is returned if no better response arrives."""
         self.failure_response = response
--- a/rampfront/proxy/request_proxy.py
+++ b/rampfront/proxy/request_proxy.py
@@ -28,6 +28,7 @@
 from .locality import distance_exponent
 from .outcomes import RequestRejectedError
 from .priorities import PriorityRanks
+from .refusal_log import Refusal, RefusalLog
 from .request import ACCOUNT, Admission, ProxiedRequest, ReceivedRequest, RequestingClient
 from .request_head import build_request_head
 from .routing import HomeZones, pick_service
@@ -79,6 +80,7 @@
         self.health_reporter: HealthReporter = self._observer
         self.request_durations = LatencyHistogram()  # from the receipt of the complete request to its response
         self.response_durations = self._observer.response_durations
+        self.refusals = RefusalLog()
 
     def call_on_quota_use(self, callback: Callable[[], None]) -> None:
         """Sets the callback after each use of a quota, when the limiter may have a message to send."""
@@ -270,13 +272,17 @@
 
         `retry_after_ns`: delay to advise, 0 if not known. A request that may have been executed is voided instead,
         because the response would promise that it was not."""
+        if request.submissions:
+            self.counts["declined_in_flight"] += 1
         if request.may_have_run:
             self.void(request)
             return
         self.counts["declined"] += 1
         client = self._close(request)
-        self._return_quota(request, self.clock())
+        now_ns = self.clock()
+        self._return_quota(request, now_ns)
         if client:
+            self.refusals.add(Refusal(now_ns, request.id, request.unexecuted_attempts))
             response = outcomes.NO_CAPACITY
             client.respond(response._replace(retry_after_ns=retry_after_ns) if retry_after_ns else response)
 
