The test of a server delisted during the connect lets the connect end

The scripted loop delivers an open connect only when it is run, so the connect's time-out came first.

Change: the case runs the loop after the server may accept.

--- a/tests/proxy/test_refusal_evidence.py
+++ b/tests/proxy/test_refusal_evidence.py
@@ -23,6 +23,7 @@
     proxy.send_request(WRITE)
     proxy.set_servers({"s1": ("one", "a1", "emptying")})
     proxy.ways.clear()
+    proxy.settle()
 
 
 def answer(status, try_id, more=""):
