A request does not return to a connection that rejected it

What callers saw: a 503 with the promise that a request has not run, while a server ran it (REFUSED), or two runs (TWICE).

Cause: an answer proves which request it belongs to (`Try-Id`), not which attempt. Class: an answer attributed by an identifier that is wider than the exchange it answers.

Change: a connection remembers the requests that were rejected on it and does not carry them again: another idle one is used, or a new one. So on one connection an answer with the id of a request has one attempt to belong to. 32 are remembered; a connection with more is closed instead of forgetting one. The counter resent_same_connection stays 0 now.

--- a/rampfront/net/server_connection.py
+++ b/rampfront/net/server_connection.py
@@ -136,6 +136,10 @@
         transport = self.transport
         return transport is not None and not transport.is_closing() and not has_unread_input(transport)
 
+    def may_carry(self, exchange: ExchangeT | None) -> bool:
+        """Whether the exchange may be submitted on this idle connection; `exchange` is None for a health check."""
+        return True
+
     # ---- a submission or health check
 
     def set_connect_task(self, task: "asyncio.Task[Any]") -> None:
--- a/rampfront/net/server_connection_pool.py
+++ b/rampfront/net/server_connection_pool.py
@@ -106,7 +106,7 @@
 
     def submit(self, exchange: ExchangeT, attempt: int, index: int, timeout_ns: int) -> None:
         """Sends a submission with a timeout of `timeout_ns`. Its end is always reported to the driver."""
-        connection = self.connection_to(index)
+        connection = self.connection_to(index, exchange)
         if connection is None:
             self.end_unsent(exchange, attempt, index)
         else:
@@ -153,8 +153,8 @@
 
     # ---- connections
 
-    def connection_to(self, index: int) -> ServerConnection[ExchangeT] | None:
-        """Returns the most recently used idle connection to a server, or a new one.
+    def connection_to(self, index: int, exchange: ExchangeT | None = None) -> ServerConnection[ExchangeT] | None:
+        """Returns the most recently used idle connection to a server that may carry the exchange, or a new one.
 
         Returns:
             None if the server is not up, or if the limit of connections is reached and none is idle.
@@ -162,12 +162,8 @@
         server = self.servers.get(index)
         if server is None or not server.up:
             return None
-        while server.idle:
-            connection = server.idle[-1]
-            if connection.usable:
-                server.idle.pop()
-                return connection
-            connection.close()
+        if idle := _take_idle(server, exchange):
+            return idle
         if self.connections >= self.limits.max_server_connections and not self._shed():
             self.counts["links_short"] += 1
             return None
@@ -199,3 +195,17 @@
         self.counts["links_shed"] += 1
         min(candidates, key=lambda connection: connection.idle_since_ns).close()
         return True
+
+
+def _take_idle(
+    server: Server[ServerConnection[ExchangeT]], exchange: ExchangeT | None
+) -> ServerConnection[ExchangeT] | None:
+    """Removes and returns the most recently used idle connection that may carry the exchange; closes unusable ones."""
+    for position in range(len(server.idle) - 1, -1, -1):
+        connection = server.idle[position]
+        if not connection.usable:
+            connection.close()
+        elif connection.may_carry(exchange):
+            del server.idle[position]
+            return connection
+    return None
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -59,7 +59,7 @@
     "unexecuted_rejected": "Attempts that did not run: the server's answer names the request and says so.",
     "unexecuted_rejected_unnamed": "Attempts that did not run, by the first answer on their connection, without an id.",
     "unexecuted_misdirected": "Attempts that did not run: another server stands at the address.",
-    "resent_same_connection": "Retries on a connection that had carried an earlier attempt of the same request.",
+    "resent_same_connection": "Retries on a connection that had carried an earlier attempt of the request; always 0.",
     "declined_in_flight": "Requests that were to be turned away while an attempt was in flight; always 0.",
     "misdirected": "Answers 421 of servers: another server stands at the address.",
     "server_lists": "Complete lists of servers that were read from the platform.",
--- a/rampfront/proxy/server_connections.py
+++ b/rampfront/proxy/server_connections.py
@@ -2,7 +2,9 @@
 
 A request is sent with `Wanted-Server`, `Customer` and the time left. A response is accepted only if it has the
 request's `Try-Id` and, if it is a success, the server's seal. A request counts as not executed only if the response
-has `Not-Run`. Source: PROTOCOL.md, "Servers".
+has `Not-Run`. A server may send a response twice, the second copy in the place of a later one. `Try-Id` tells requests
+apart, but not the attempts of one request, so a connection on which a request was rejected does not carry it again.
+Source: PROTOCOL.md, "Servers".
 
 This module owns the connections. It must never choose a server or retry a request: it reports how each attempt ended,
 and `choice.py` decides.
@@ -40,6 +42,7 @@
 _ANSWERED = (t.DONE, t.ERROR)
 _ATTEMPT_UNCERTAIN = RequestEvent.ATTEMPT_UNCERTAIN
 _NO_CONNECTION_NUMBER = 0
+_MAX_REJECTED_IDS = 32  # per connection; bounds its memory, because the connection is closed then
 _COUNTERS = {ground: f"unexecuted_{ground.value}" for ground in NonExecution}
 
 
@@ -63,9 +66,10 @@
         idle_ns: how long it had been idle when the current attempt began; None for its first attempt.
         observation: the observer's reference of the current attempt.
         number: its serial number in this process.
+        rejected_ids: the identifiers of the requests that the server rejected on it.
     """
 
-    __slots__ = ("reusable_until_ns", "idle_ns", "observation", "number")
+    __slots__ = ("reusable_until_ns", "idle_ns", "observation", "number", "rejected_ids")
     pool: ConnectionPool
     reader: SystemResponseReader
     reader_type = SystemResponseReader
@@ -77,6 +81,11 @@
         self.idle_ns: int | None = None
         self.observation = 0
         self.number = pool.counts["connects"] + 1
+        self.rejected_ids: tuple[bytes, ...] = ()
+
+    def may_carry(self, exchange: ProxiedRequest | None) -> bool:
+        """Whether a response on this idle connection would prove to belong to the next attempt of the request."""
+        return exchange is None or exchange.id not in self.rejected_ids
 
     def begin(self, exchange: ProxiedRequest | None, attempt: int, timeout_ns: int) -> None:
         """Starts an attempt, or a health check (`exchange` None), with a time limit of `timeout_ns`."""
@@ -136,6 +145,12 @@
             failed = status >= FIRST_SERVER_ERROR or status in NOT_RUN_STATUSES
             self.finish(t.ERROR if failed else t.DONE, keep)
 
+    def finish_unexecuted(self, ground: NonExecution, keep: bool = False) -> None:
+        """Ends an attempt that was not executed. `keep`: the connection may be reused."""
+        if keep and self.exchange:
+            self.rejected_ids += (self.exchange.id,)
+        super().finish_unexecuted(ground, keep and len(self.rejected_ids) < _MAX_REJECTED_IDS)
+
     def finish(self, outcome: int, keep: bool = False) -> None:
         """Ends the attempt; `outcome` is a constant of `terms`; `keep`: the connection may be reused."""
         now_ns = self.pool.clock()
@@ -208,15 +223,17 @@
         self.counts[_COUNTERS[attempt.ground]] += 1
         exchange.unexecuted_attempts += (attempt,)
 
-    def connection_to(self, index: int) -> ServerConnection[ProxiedRequest] | None:
-        """A connection to a server: the most recently used idle one, or a new one; None if there can be none."""
+    def connection_to(
+        self, index: int, exchange: ProxiedRequest | None = None
+    ) -> ServerConnection[ProxiedRequest] | None:
+        """A connection to a server that may carry the request: an idle one, or a new one; None if there can be none."""
         server = self.servers.get(index)
         if server and server.idle:
             newest = server.idle[-1]
             assert isinstance(newest, ForwardingConnection)
             if newest.reusable_until_ns <= self.clock():
                 server.close_idle()  # the newest may not be reused, so the older ones may not either
-        return super().connection_to(index)
+        return super().connection_to(index, exchange)
 
     def load_reported(self, server: Server[ServerConnection[ProxiedRequest]], text: bytes) -> None:
         """Passes on the `Server-Load` of a response. An invalid one is ignored."""
--- a/tests/proxy/test_rejection_copies.py
+++ b/tests/proxy/test_rejection_copies.py
@@ -57,3 +57,31 @@
     for status in (503, 429):
         _, runs = send_to_copying_servers({"s1": SERVERS["s1"]}, 3, status)
         assert runs <= 1, status
+
+
+def test_a_request_does_not_return_to_a_connection_that_rejected_it():
+    """Other requests still use that connection."""
+    proxy = ProxyHarness({"s1": SERVERS["s1"]})
+    proxy.send_request(WRITE)
+    (rejecting,) = proxy.pending_connections()
+    proxy.reject()
+    (other,) = proxy.pending_connections()
+    assert other is not rejecting and not rejecting.closed
+    proxy.respond()
+    assert proxy.response().status == 200
+    proxy.send_request(WRITE, try_id="t2")
+    proxy.send_request(WRITE, try_id="t3", client="d")
+    assert {rejecting, other} == set(proxy.pending_connections())
+    assert proxy.log.counts["connects"] == 2 and not proxy.log.counts["resent_same_connection"]
+
+
+def test_a_connection_is_closed_before_it_forgets_a_rejection():
+    proxy = ProxyHarness({"s1": SERVERS["s1"]})
+    rejecting = None
+    for number in range(40):
+        proxy.send_request(WRITE, try_id=f"t{number}")
+        rejecting = rejecting or proxy.pipes["s1"]
+        while proxy.pending():
+            proxy.reject(try_id=f"t{number}")
+        proxy.response()
+    assert rejecting.closed and not proxy.log.counts["resent_same_connection"]
