A request with an attempt in flight is voided, never refused

What callers would see: a 503 for a request that a server is working on.

Cause: `decline` asked only about attempts that had ended, so the promise relied on the decision module alone.

Change: a request with an attempt in flight is voided. The counter shows it as a defect.

--- a/rampfront/proxy/request_proxy.py
+++ b/rampfront/proxy/request_proxy.py
@@ -270,11 +270,11 @@
     def decline(self, request: ProxiedRequest, retry_after_ns: int) -> None:
         """Responds to a request that is sent to no further server.
 
-        `retry_after_ns`: delay to advise, 0 if not known. A request that may have been executed is voided instead,
-        because the response would promise that it was not."""
+        `retry_after_ns`: delay to advise, 0 if not known. A request that may have been executed, or has an attempt in
+        flight, is voided instead, because the response would promise that it never runs."""
         if request.submissions:
             self.counts["declined_in_flight"] += 1
-        if request.may_have_run:
+        if request.may_have_run or request.submissions:
             self.void(request)
             return
         self.counts["declined"] += 1
--- a/tests/proxy/test_refusal_evidence.py
+++ b/tests/proxy/test_refusal_evidence.py
@@ -72,3 +72,13 @@
     proxy = ProxyHarness(ONE)
     refuse_connect(proxy)
     assert proxy.response().status == 503 and not list(proxy.request_proxy.refusals)
+
+
+def test_a_request_with_an_attempt_in_flight_is_never_refused():
+    proxy = ProxyHarness(ONE)
+    proxy.send_request(WRITE)
+    (request,) = proxy.request_proxy.service_pools["one"].open_requests
+    proxy.request_proxy.decline(request, 0)
+    response = proxy.response()
+    assert response.status == 502 and not response["retry-after"] and not proxy.quota.refunded
+    assert proxy.log.counts["declined_in_flight"] == 1 and not proxy.log.counts["declined"]
