The laboratory takes a node for ready only if the node's own process listens

Cause: two nodes get one port there. The ready check asks the address, so the first node answered for the second one, whose process on a busy machine had not come to listen yet, and so had not failed when the run was over.

Change: the process itself must have the listening socket (its descriptors, /proc/net/tcp). A node that cannot listen now fails the run however late it is.

Evidence: a node whose process is stopped (SIGSTOP) before it listens, behind the address of another, was taken for ready (DID NOT RAISE, the failure that was reported) and is not any more.

--- a/rampfront/lab/nodes.py
+++ b/rampfront/lab/nodes.py
@@ -21,6 +21,7 @@
 
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TCP_LISTEN = "0A"  # state of a listening socket in /proc/net/tcp
 MAX_PORT_TRIES = 10_000  # before the search for a free port fails
 _recent_ports: deque[int] = deque(maxlen=500)  # returned last; their nodes may not have bound them yet
 
@@ -66,6 +67,19 @@
         return 0
 
 
+def listens_at(pid, port):
+    """Returns whether a process has a TCP socket that listens at this port of an IPv4 address; False if it has
+    ended."""
+    with open("/proc/net/tcp") as file:
+        rows = [line.split() for line in file][1:]
+    inodes = {row[9] for row in rows if row[3] == TCP_LISTEN and int(row[1].rpartition(":")[2], 16) == port}
+    try:
+        descriptors = [os.readlink(entry.path) for entry in os.scandir(f"/proc/{pid}/fd")]
+    except OSError:
+        return False
+    return any(f"socket:[{inode}]" in descriptors for inode in inodes)
+
+
 def http_request(address, path, method="GET", timeout_s=2.0):
     """Sends an HTTP request on loopback and returns the status and the body. Raises OSError if there is no valid
     response."""
@@ -146,15 +160,17 @@
         return self
 
     def wait_until_ready(self, timeout_s=10.0):
-        """Waits until the node reports that it is ready, and returns it. Raises RunFailedError with the end of the
-        node's log."""
+        """Waits until the node reports that it is ready, and returns it. A report of another process at its address
+        does not count. Raises RunFailedError with the end of the node's log."""
         deadline = time.monotonic() + timeout_s
+        port = int(self.listen.rpartition(":")[2])
         while time.monotonic() < deadline and self.process.poll() is None:
             try:
-                if http_request(self.listen, "/-/ready", timeout_s=0.5)[0] == 200:
-                    return self
+                is_ready = http_request(self.listen, "/-/ready", timeout_s=0.5)[0] == 200
             except OSError:
-                pass
+                is_ready = False
+            if is_ready and listens_at(self.process.pid, port):
+                return self
             time.sleep(0.02)
         raise RunFailedError(f"node {self.number} did not become ready: {self.log_tail()}")
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,5 +1,6 @@
 """The laboratory: its models alone, and short experiments on loopback with scripted faults."""
 
+import signal
 import socket
 from random import Random
 
@@ -267,6 +268,25 @@
         Repeat(plan, plan.seed, tmp_path).play()
 
 
+def test_a_node_whose_process_does_not_listen_is_not_ready(tmp_path):
+    """Another process answers at its address, as while a node on a busy machine has not tried to listen yet."""
+    addresses = {"discovery": "127.0.0.1:1", "boxes": [], "counter": ["127.0.0.1:1"]}
+    first = nodes.Node(make_plan(), 0, addresses, 1, tmp_path)
+    second = nodes.Node(make_plan(), 1, {**addresses, "counter": 2 * addresses["counter"]}, 1, tmp_path)
+    first.listen = second.listen
+    first.configuration["listen"] = second.listen
+    address = {"uid": "s0", "endpoint": "127.0.0.1:1", "state": "in_service", "boot_ms": 0}
+    first.configuration["known"] = second.configuration["known"] = {"rev": 1, "all": True, "targets": [address]}
+    try:
+        first.start().wait_until_ready()
+        second.start().process.send_signal(signal.SIGSTOP)
+        with pytest.raises(RunFailedError, match="node 1 did not become ready"):
+            second.wait_until_ready(timeout_s=0.5)
+    finally:
+        first.end()
+        second.end()
+
+
 @pytest.mark.slow(6)
 def test_a_crash_a_drain_and_a_killed_node(tmp_path):
     plan = make_plan(
