Soak of the whole system: real nodes under signals, restarts and misbehaving servers, judged by Try-Id

Stand-in servers repeated only answers to requests that they had run, never a rejection, and the laboratory's signals came one at a time, to clients that followed the directory at once.

Simulated servers' answers are a typed Answer.

--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -96,3 +96,27 @@
     from ..lab.system import run as runs
 
     typer.echo(reports.speed_text(run_or_exit(runs.measure_speed, load_system_experiment(plan), out)))
+
+
+@app.command("soak")
+def system_soak(
+    out: OutFolder = Path("found/soak"),
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 50,
+    first: Annotated[int, typer.Option(min=0, help="The first seed.")] = 1,
+    nodes: Annotated[int, typer.Option(min=0, help="Nodes of each run; 0: drawn, from 3 to 6.")] = 0,
+    jobs: Annotated[int, typer.Option(min=1, help="Runs at the same time.")] = 2,
+) -> None:
+    """Play real nodes under signals, restarts and misbehaving servers, one run for each seed, and judge each run.
+
+    Exit 1 if a run broke a rule or came to no verdict; the folder of such a run, with the logs, is kept.
+    """
+    from ..lab.system.soak import play_seeds
+    from ..lab.system.soak_plan import SoakSize
+
+    failed = 0
+    for result in play_seeds(range(first, first + seeds), SoakSize(nodes=nodes), out, jobs):
+        typer.echo(str(result))
+        failed += result.failed
+    typer.echo(f"{seeds} runs, {failed} failed")
+    if failed:
+        raise typer.Exit(EXIT_FAILED)
--- a/rampfront/lab/http.py
+++ b/rampfront/lab/http.py
@@ -34,6 +34,12 @@
     transport.abort()
 
 
+def encode_response(status: int, body: bytes, extra_headers: bytes) -> bytes:
+    """Returns a response with its length. `extra_headers`: complete header lines."""
+    reason = REASONS.get(status, "Said").encode()
+    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n%s" % (status, reason, len(body), extra_headers, body)
+
+
 def run_until_stopped(loop, message, print_line):
     """Prints `message` and runs the loop until SIGTERM or SIGINT."""
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -109,6 +115,10 @@
         """Called by the parser: a header."""
         self.fields[name.lower()] = value
 
+    def on_headers_complete(self):
+        """Called by the parser: the head is complete."""
+        self.owner.on_request_head(self)
+
     def on_body(self, data):
         """Called by the parser: a part of the body."""
         self.body += data
@@ -122,10 +132,7 @@
         lines."""
         self.pending_request, self.last_active_at, self.is_new = None, self.owner.clock(), False
         if not self.transport.is_closing():
-            self.transport.write(
-                b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n%s"
-                % (status, REASONS.get(status, "Said").encode(), len(body), extra_headers, body)
-            )
+            self.transport.write(encode_response(status, body, extra_headers))
 
 
 class HttpServerBase:
@@ -152,6 +159,9 @@
     def on_dropped_connection_used(self, connection: Connection) -> None:
         """Called when data arrives on a connection that was silently forgotten."""
 
+    def on_request_head(self, connection: Connection) -> None:
+        """Called when the head of a request is complete, before its body."""
+
     def reset_connections(self) -> None:
         """Resets all connections."""
         for connection in list(self.connections):
--- a/rampfront/lab/simulated_servers.py
+++ b/rampfront/lab/simulated_servers.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import NamedTuple
 
 from .http import REASONS, AppServerBase, Connection, Listener, Request, reset
 from .server_model import GONE, MS, SEC, WORKING, Job, ServerModel
@@ -58,6 +59,16 @@
     body: bytes  # a digest
 
 
+class Answer(NamedTuple):
+    """An answer of a server. `extra_headers`: complete header lines; `close`: the connection is closed after it."""
+
+    status: int
+    body: bytes = b""
+    extra_headers: bytes = b""
+    try_id: bytes | None = None
+    close: bool = False
+
+
 def compute_seal(uid, try_id, body):
     """Returns the seal of a body: a digest of the server, the try and the body, in hex."""
     return hashlib.blake2b(b"%s %s %s" % (uid.encode(), try_id, body), digest_size=8).hexdigest().encode()
@@ -150,7 +161,7 @@
         wanted_server, try_id = fields.get(b"wanted-server"), fields.get(b"try-id")
         if wanted_server is not None and wanted_server != self.uid.encode():
             self.counts["misdirected"] += 1
-            return self.respond(connection, 421, b"", b"Server-Id: %s\r\n" % self.uid.encode(), try_id)
+            return self.respond(connection, Answer(421, b"", b"Server-Id: %s\r\n" % self.uid.encode(), try_id))
         health = request.method == b"GET" and request.path == self.profile.health
         if self.arrivals is not None and not health and try_id:
             self.arrivals.append((now, try_id.decode("latin-1")))
@@ -162,13 +173,13 @@
             if len(self.recent_arrivals) > 3 * self.profile.cold_per_s + 5:
                 return self.crash()
         if not health and not try_id:
-            return self.respond(connection, 400, b"", NOT_RUN)
+            return self.respond(connection, Answer(400, b"", NOT_RUN))
         time_left = fields.get(b"time-left-ms", b"")
         job = connection.job = Job((request, health, now + int(time_left) * MS if time_left.isdigit() else 0))
         started = self.server_model.arrive(job, now)
         if started is None:
             self.counts["turned_away"] += 1
-            return self.respond(connection, 503, b"", NOT_RUN, try_id)
+            return self.respond(connection, Answer(503, b"", NOT_RUN, try_id))
         self.start_jobs(started, now)
 
     def start_jobs(self, jobs, now):
@@ -179,7 +190,7 @@
             if deadline and deadline <= now:  # its deadline passed in the queue: it is not executed
                 self.counts["expired"] += 1
                 jobs = self.server_model.finish(job, now)
-                self.respond(request.connection, 503, b"", NOT_RUN, request.fields.get(b"try-id"))
+                self.respond(request.connection, Answer(503, b"", NOT_RUN, request.fields.get(b"try-id")))
             elif health:
                 jobs = self.server_model.finish(job, now)
                 self.health(request, now)
@@ -202,9 +213,8 @@
         """Responds to a health check."""
         self.counts["probes"] += 1
         cold = b"Cold-Ms: %d\r\n" % max(0, (self.cold_until - now) // MS) if self.cold_until else b""
-        self.respond(
-            request.connection, 503 if self.draining else 200, b"", b"Server-Id: %s\r\n%s" % (self.uid.encode(), cold)
-        )
+        status = 503 if self.draining else 200
+        self.respond(request.connection, Answer(status, b"", b"Server-Id: %s\r\n%s" % (self.uid.encode(), cold)))
 
     def finish_job(self, job, deadline_exceeded):
         """Completes a job and starts the next one."""
@@ -256,30 +266,30 @@
                 b"\r\n%x\r\n%s\r\n0\r\n\r\n" % (try_id, seal, half, body[:half], len(body) - half, body[half:])
             )
         if fault == "error" or deadline_exceeded:
-            return self.respond(connection, 504 if deadline_exceeded else 500, b"", seal, try_id)
-        self.respond(connection, 200, body, seal, try_id, close=fault == "close")
+            return self.respond(connection, Answer(504 if deadline_exceeded else 500, b"", seal, try_id))
+        self.respond(connection, Answer(200, body, seal, try_id, fault == "close"))
         if fault == "extra":  # surplus bytes after a complete response
-            self.respond(connection, 200, body, seal, b"0000000000000000")
+            self.respond(connection, Answer(200, body, seal, b"0000000000000000"))
         elif fault == "late":  # sent again in place of the response to the next request
-            self.delayed_responses[connection] = (200, body, seal, try_id)
+            self.delayed_responses[connection] = Answer(200, body, seal, try_id)
 
-    def respond(self, connection, status, body, extra_headers=b"", try_id=None, close=False):
-        """Sends a response with the headers that every response has, after the delayed one of this connection, if
-        any."""
+    def respond(self, connection: Connection, answer: Answer) -> None:
+        """Sends an answer with the headers that every one has, after the delayed one of this connection, if any."""
         if (delayed := self.delayed_responses.pop(connection, None)) is not None:
-            self.respond(connection, *delayed)
-        self.counts[status] += 1
-        if try_id:
-            extra_headers += b"Try-Id: %s\r\n" % try_id
+            self.respond(connection, delayed)
+        self.counts[answer.status] += 1
+        extra_headers = answer.extra_headers
+        if answer.try_id:
+            extra_headers += b"Try-Id: %s\r\n" % answer.try_id
         if self.profile.tells_load:
             extra_headers += b"Server-Load: %d,%d,%d\r\n" % (
                 self.server_model.working,
                 len(self.server_model.queue),
                 self.profile.slots,
             )
-        close = close or self.draining
+        close = answer.close or self.draining
         extra_headers += b"Connection: close\r\n" if close else b"Keep-Alive: timeout=%d\r\n" % self.profile.idle_s
-        connection.respond(status, body, extra_headers)
+        connection.respond(answer.status, answer.body, extra_headers)
         if close and not connection.transport.is_closing():
             connection.transport.close()
 
@@ -287,9 +297,9 @@
 class Fleet:
     """Servers by `uid`, and the platform's list of them. All random choices follow from one seed."""
 
-    def __init__(self, loop, clock, platform, seed=0, host="127.0.0.1"):
-        """`platform`: gets the list of the servers."""
-        self.loop, self.clock, self.platform, self.host = loop, clock, platform, host
+    def __init__(self, loop, clock, platform, seed=0, host="127.0.0.1", make_server=SimulatedServer):
+        """`platform`: gets the list of the servers; `make_server`: has the parameters of `SimulatedServer`."""
+        self.loop, self.clock, self.platform, self.host, self.make_server = loop, clock, platform, host, make_server
         self.rng, self.servers, self.last_number = Random(seed), {}, 0
 
     async def start(self, profile, zone, port=0, cold=0, choose_fault=None):
@@ -298,7 +308,7 @@
         self.last_number += 1
         uid = f"i-{self.last_number:08x}"
         rng = Random(self.rng.getrandbits(64))
-        server = await SimulatedServer(
+        server = await self.make_server(
             self.loop, self.clock, rng, uid, profile, zone, self.host, port, cold, choose_fault
         ).open()
         self.servers[uid] = server
--- a/rampfront/lab/system/clients.py
+++ b/rampfront/lab/system/clients.py
@@ -81,15 +81,19 @@
             except (ValueError, KeyError, TypeError, AttributeError):
                 fronts, ttl = [], 0
             if fronts and ttl:
-                for removed in set(self.idle_connections) - set(fronts):
-                    for connection, _ in self.idle_connections.pop(removed):
-                        connection.close("closed")
+                self.drop_connections_to(set(self.idle_connections) - set(fronts))
                 self.fronts, self.fronts_valid_until = fronts, time.monotonic_ns() + int(ttl * SEC) * self.ttl_factor
                 self.failed_fronts.clear()
                 return
             self.system.counts["lookups_failed"] += 1
         self.fronts_valid_until = time.monotonic_ns() + SEC // 2
 
+    def drop_connections_to(self, fronts):
+        """Closes the idle connections to fronts that the directory no longer names."""
+        for front in fronts:
+            for connection, _ in self.idle_connections.pop(front):
+                connection.close("closed")
+
     def take_idle(self, front):
         """Removes and returns an idle connection to a front that is open and has not expired, or returns None."""
         connections = self.idle_connections.get(front, [])
@@ -120,15 +124,12 @@
 class LoadGenerator:
     """All clients of a run. `rows` holds a row for each request, `tries` the outcome of each try."""
 
-    def __init__(self, system, arrivals, start, clients=None):
+    def __init__(self, system, arrivals, start, clients):
         """`system` has `loop`, `plan`, `terms`, `seed`, `nodes` and `counts`; `arrivals`: the schedule of the requests;
-        `start`: the start of the schedule in monotonic ns; `clients`: for each zone, None for those of the plan."""
+        `start`: the start of the schedule in monotonic ns; `clients`: those of each zone."""
         self.system, self.loop, self.arrivals, self.start = system, system.loop, arrivals, start
         self.rng, self.id_prefix = Random(f"{system.seed}/crowd"), f"{self.clock() & 0xFFFFFFFFFF:x}"
-        zones = list(system.plan.zones)
-        self.clients = clients or [
-            [Client(system, zone, number) for number in range(system.plan.clients)] for zone in zones
-        ]
+        self.clients = clients
         self.routes = {route.name: (index, route) for index, route in enumerate(system.plan.routes)}
         self.rows, self.tries, self.tasks = np.zeros(len(arrivals.at), ROW), [], set()
         self.arrival_times, self.next_index = arrivals.at.tolist(), 0
--- a/rampfront/lab/system/run.py
+++ b/rampfront/lab/system/run.py
@@ -24,10 +24,10 @@
 from ...settings.scalars import parse_address
 from ..nodes import RunFailedError, process_usage
 from ..platform import Platform, open_platform
-from ..simulated_servers import RESPONSE_FAULTS, Fleet, ServerProfile
+from ..simulated_servers import RESPONSE_FAULTS, Fleet, ServerProfile, SimulatedServer
 from . import plan as plans
 from . import schedule
-from .clients import FixedFrontsClient, LoadGenerator, Operator
+from .clients import Client, FixedFrontsClient, LoadGenerator, Operator
 from .judge import Observations, SentOrder, Server
 from .relay import Relay
 
@@ -129,11 +129,25 @@
         model = self.plan.platform
         self.platform = Platform(clock, model.page, round(model.lag_s * SEC), model.per_s)
         self.listener = await open_platform(self.loop, self.platform)
-        self.fleet = Fleet(self.loop, clock, self.platform, seed=self.seed)
+        self.fleet = Fleet(self.loop, clock, self.platform, seed=self.seed, make_server=self.make_server)
         for number, (service, zone) in enumerate(plans.server_placements(self.plan)):
             self.boxes.append(None)
             await self.start_server(number, 0)
 
+    def make_server(self, *arguments):
+        """Returns a new server; the parameters are those of `SimulatedServer`."""
+        return SimulatedServer(*arguments)
+
+    def make_clients(self):
+        """Returns the clients of each zone."""
+        return [[Client(self, zone, number) for number in range(self.plan.clients)] for zone in self.plan.zones]
+
+    def begin_disturbances(self):
+        """Called when the schedule begins. Subclasses may disturb the run beyond its schedule."""
+
+    async def end_disturbances(self):
+        """Called when all requests have ended."""
+
     async def start_server(self, number, cold):
         """Starts the server of a number, which is cold for the given ns."""
         service, zone = plans.server_placements(self.plan)[number]
@@ -273,7 +287,7 @@
         self.started_at = time.monotonic_ns() + START_DELAY_NS
         operator, arrivals = Operator(self), schedule.arrivals(self.plan, self.seed)
         operator.sent_orders.append(first)
-        generator = LoadGenerator(self, arrivals, self.started_at)
+        generator = LoadGenerator(self, arrivals, self.started_at, self.make_clients())
         events = [(event.at, self.apply_fault, event) for event in self.events]
         events += [
             (step.at, lambda step: self.loop.create_task(operator.send_order(step)), step)
@@ -282,9 +296,11 @@
         for at, action, argument in sorted(events, key=lambda row: row[0]):
             self.schedule_call(self.started_at + at - time.monotonic_ns(), action, argument)
         sampler = asyncio.ensure_future(self.sample_resources())
+        self.begin_disturbances()
         await asyncio.sleep((self.started_at - time.monotonic_ns()) / SEC + self.plan.duration_s)
         await generator.wait_finished()
         generator.pacer.end()
+        await self.end_disturbances()
         sampler.cancel()
         now = time.monotonic_ns()
         self.observed.fault_periods += [(since, now) for since in self.fault_starts.values()]
@@ -345,9 +361,14 @@
 
 
 def run_in_system(plan, variant, seed, folder, action):
+    """Returns `await action(system)` for a new `EmulatedSystem`; see `run_system`. Raises `RunFailedError`."""
+    return run_system(lambda loop, path: EmulatedSystem(loop, plan, variant, seed, path), plan, folder, action)
+
+
+def run_system(make_system, plan, folder, action):
     """Returns `await action(system)`, run in its own event loop; afterwards ends everything that was started.
 
-    Raises `RunFailedError`."""
+    `make_system`: returns the system for (loop, folder). Raises `RunFailedError`."""
     folder = Path(folder)
     if (folder / "report.json").exists():
         raise RunFailedError(f"{folder} already holds a run")
@@ -355,7 +376,7 @@
     (folder / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
 
     async def run_action():
-        system = EmulatedSystem(asyncio.get_running_loop(), plan, variant, seed, folder.resolve())
+        system = make_system(asyncio.get_running_loop(), folder.resolve())
         try:
             return await action(system)
         finally:
