SIGHUP and SIGUSR1 do not end a process that is still starting

What operators saw: nothing yet; the soak's signals reached processes that had just been started, and these ended by themselves (status -1, -10), up to 0.25 s behind their start on this machine.

Cause: the handlers are connected last, and the default action of both signals ends a process. The edge node had the same.

Change: net/startup_signals.py catches both before the settings are read; a SIGHUP that came meanwhile has them read again once the handlers stand, so that a change between the first reading and them is not lost.

What remains: the interpreter's own start, before the program's first line.

--- a/rampfront/edge/node.py
+++ b/rampfront/edge/node.py
@@ -18,6 +18,7 @@
 from ..net.clock import Clock
 from ..net.decision_driver import DecisionDriver
 from ..net.server_connection_pool import ServerConnectionPool
+from ..net.startup_signals import StartupSignals
 from ..net.timers import TimerQueue
 from ..net.transaction_gateway import Listener, TransactionExchange, TransactionGateway
 from ..net.transaction_listener import TransactionListener
@@ -118,7 +119,7 @@
             loop.run_until_complete(admin.listen(*configuration.admin_address))
             self._sweeps.append(admin.sweep)
         self._sweep()
-        loop.add_signal_handler(signal.SIGHUP, self._reload_addresses)
+        loop.add_signal_handler(signal.SIGHUP, self.reload_addresses)
         loop.add_signal_handler(signal.SIGTERM, self._shut_down)
         loop.add_signal_handler(signal.SIGINT, self._shut_down)
         loop.add_signal_handler(signal.SIGUSR1, log.record_counters, "asked")
@@ -177,7 +178,7 @@
         timers.after(limits.shutdown_delay_ns, self._context.gateway.retire, loop.stop)
         timers.after(limits.shutdown_timeout_ns, loop.stop)
 
-    def _reload_addresses(self) -> None:
+    def reload_addresses(self) -> None:
         """Applies new addresses of discovery and the counter. An invalid file is logged and changes nothing."""
         log = self._context.log
         try:
@@ -220,6 +221,7 @@
 
 def serve() -> int:
     """Runs one edge node until it shuts down. Returns the exit status."""
+    startup_signals = StartupSignals()
     try:
         configuration = load_configuration()
     except ConfigurationError as error:
@@ -237,6 +239,8 @@
         return EXIT_CANNOT_LISTEN
     app_servers = len(configuration.known_servers.rows)
     log.record("serving", listen=configuration.listen_address, app_servers=app_servers)
+    if startup_signals.reload_requested:
+        node.reload_addresses()
     gc.freeze()  # objects that exist now live as long as the process
     gc.set_threshold(*_GC_THRESHOLDS)
     loop.run_forever()
--- a/rampfront/node/__main__.py
+++ b/rampfront/node/__main__.py
@@ -35,6 +35,10 @@
     The laboratory passes `build` and `open_listeners` to replace `build_node_process` and `open_listeners`. The imports
     are inside this function because they must follow the change of the environment above.
     """
+    from ..net.startup_signals import StartupSignals
+
+    startup_signals = StartupSignals()
+
     import uvloop
     from result import Err
 
@@ -58,6 +62,8 @@
     gc.collect()
     gc.freeze()  # exempts the objects created at startup from garbage collection
     handle_signals(loop, node, path)
+    if startup_signals.reload_requested:
+        node.settings_reloader.reload(path)
     loop.run_forever()
     node.record_diagnostics("end")
     return EXIT_OK
