--- a/tests/proxy/test_refusal_evidence.py
+++ b/tests/proxy/test_refusal_evidence.py
@@ -1,7 +1,7 @@
 """Each conclusion that an attempt was not executed is counted by its ground, and a refusal keeps its evidence."""
 
 import pytest
-from proxy_fixtures import WRITE, ProxyHarness
+from proxy_fixtures import SEC, WRITE, ProxyHarness
 
 from rampfront.net.non_execution import NonExecution
 
@@ -26,6 +26,20 @@
     proxy.settle()
 
 
+def connect_after_the_deadline(proxy):
+    proxy.ways["s1"] = "silent"
+    proxy.send_request(WRITE)
+    proxy.now += 5 * SEC  # the loop stands still: no timer has run
+    proxy.ways.clear()
+    proxy.settle()
+
+
+def use_all_connections(proxy):
+    pool = proxy.request_proxy.service_pools["one"].connection_pool
+    pool.limits = pool.limits._replace(max_server_connections=0)
+    proxy.send_request(WRITE)
+
+
 def answer(status, try_id, more=""):
     def send(proxy):
         proxy.send_request(WRITE)
@@ -35,6 +49,8 @@
 
 
 CASES = {
+    NonExecution.NO_CONNECTION: use_all_connections,
+    NonExecution.EXPIRED: connect_after_the_deadline,
     NonExecution.CONNECT_FAILED: refuse_connect,
     NonExecution.CONNECT_TIMED_OUT: leave_connect_open,
     NonExecution.DELISTED: drain_during_connect,
@@ -49,6 +65,7 @@
     proxy = ProxyHarness(ONE)
     CASES[ground](proxy)
     proxy.wait(400)
+    assert set(CASES) == set(NonExecution)
     assert proxy.log.counts[f"unexecuted_{ground.value}"] >= 1
     counted = {name for name, count in proxy.log.counts.items() if name.startswith("unexecuted_") and count}
     assert counted == {f"unexecuted_{ground.value}"}
