--- a/tests/proxy/test_client_front.py
+++ b/tests/proxy/test_client_front.py
@@ -3,6 +3,8 @@
 import pytest
 from proxy_fixtures import TWO_SERVERS, WRITE, ProxyHarness
 
+from rampfront.proxy import client_front
+
 
 def test_a_client_that_disconnects_cancels_its_request():
     """The attempt is cancelled at the server at once, and the body is no longer counted as buffered."""
@@ -79,3 +81,23 @@
         proxy.wait(250)
         proxy.client_front.sweep()
     assert proxy.response().status == 408 and proxy.pipes["kept"].closed and proxy.pipes["idle"].closed
+
+
+def test_a_request_beyond_the_limit_of_connections_reaches_no_server():
+    proxy = ProxyHarness(TWO_SERVERS)
+    proxy.client_front.limits = proxy.client_front.limits._replace(max_clients=1)
+    proxy.send_request(client="first")
+    proxy.send_request(WRITE, try_id="t2", client="second", body=b"1")
+    response = proxy.response("second")
+    assert response.status == 503 and float(response["retry-after"]) > 0 and proxy.pipes["second"].closed
+    assert proxy.log.counts["dispatches"] == 1 and proxy.log.counts["turned_away"] == 1
+
+
+def test_a_request_whose_body_finds_no_memory_reaches_no_server(monkeypatch):
+    monkeypatch.setattr(client_front, "_MAX_BUFFERED_BYTES", 10)
+    proxy = ProxyHarness(TWO_SERVERS)
+    proxy.send_request(WRITE, body=b"x" * 11)
+    assert proxy.response().status == 503 and not proxy.log.counts["dispatches"]
+    proxy.wait(1)
+    proxy.send_request(WRITE, try_id="t2", client="d", body=b"x" * 9)
+    assert proxy.pending() and proxy.client_front.buffered_bytes == 9
