The laboratory's speed measurement is a module of its own, typed; run.py has one job less

Measured: a short `lab system speed` (one rate, one round) prints its table as before; test_lab_system, test_cost_measurements, architecture and linter's exceptions: 61 passed.

--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -93,9 +93,9 @@
 def system_speed(plan: PlanFile, out: OutFolder = Path("found/speed")) -> None:
     """Run the rates of `speed.rates` straight to the servers, through one proxy, through all; what the proxies add."""
     from ..lab.system import report as reports
-    from ..lab.system import run as runs
+    from ..lab.system.speed import measure_speed
 
-    typer.echo(reports.speed_text(run_or_exit(runs.measure_speed, load_system_experiment(plan), out)))
+    typer.echo(reports.speed_text(run_or_exit(measure_speed, load_system_experiment(plan), out)))
 
 
 @app.command("soak")
--- a/rampfront/lab/system/request_cost.py
+++ b/rampfront/lab/system/request_cost.py
@@ -1,6 +1,6 @@
 """Measures what one node adds to a request, by the size of its state.
 
-Call: `python -m rampfront.lab.system.request_cost -o DIR`. `run.measure_speed` runs each case: open loop, alternately
+Call: `python -m rampfront.lab.system.request_cost -o DIR`. `speed.measure_speed` runs each case: open loop, alternately
 straight to the servers and through the one node. A line is fitted to the node's processor time against the rate: its
 slope is the cost of a request, its base the time that the node uses without load.
 """
@@ -13,9 +13,9 @@
 import click
 
 from . import plan as plans
-from . import run as runs
 from .line_fit import fit
 from .plan import Experiment
+from .speed import measure_speed
 
 MICRO = 1e6
 ZONES = {"north-a": "north", "south-a": "south"}
@@ -114,7 +114,7 @@
     click.echo(TABLE_HEAD)
     for case in CASES:
         if only in ("", case.name):
-            rows = runs.measure_speed(experiment(case), out / case.name.replace(" ", "-"))
+            rows = measure_speed(experiment(case), out / case.name.replace(" ", "-"))
             for line in lines(case, rows):
                 click.echo(line)
             click.echo(f"| {case.name} | load of the machine {os.getloadavg()[0]:.0f} | | | | | |")
--- a/rampfront/lab/system/run.py
+++ b/rampfront/lab/system/run.py
@@ -21,13 +21,12 @@
 from ...operator_cli.control_answers import format_address
 from ...operator_cli.local_layout import Environment, LocalSystemError, Node, node_settings
 from ...operator_cli.local_system import LocalSystem, SystemSize
-from ...settings.scalars import parse_address
 from ..nodes import RunFailedError, process_usage
 from ..platform import Platform, open_platform
 from ..simulated_servers import RESPONSE_FAULTS, Fleet, ServerProfile, SimulatedServer
 from . import plan as plans
 from . import schedule
-from .clients import Client, FixedFrontsClient, LoadGenerator, Operator
+from .clients import Client, LoadGenerator, Operator
 from .judge import Observations, SentOrder, Server
 from .relay import Relay
 
@@ -405,60 +404,3 @@
     written = run_in_system(plan, variant, seed, folder, run_and_report)
     (Path(folder) / "report.json").write_text(json.dumps(written, indent=1))
     return written
-
-
-async def measure_path(system, arrivals, length_s, addresses):
-    """Measures one path at one rate; returns (rows, processor cores used by each node)."""
-    before = [process_usage(child.pid)[0] for child in system.children.values()]
-    generator = LoadGenerator(
-        system, arrivals, time.monotonic_ns() + SEC // 4, [[FixedFrontsClient(system, addresses)]]
-    )
-    await asyncio.sleep(0.25 + length_s)
-    cores = [
-        (process_usage(child.pid)[0] - cpu_before) / (length_s + 0.25)
-        for child, cpu_before in zip(system.children.values(), before)
-    ]
-    await generator.wait_finished()
-    generator.pacer.end()
-    if system.internal_error is not None:
-        raise RunFailedError(f"defect of the laboratory: {system.internal_error!r}")
-    await asyncio.sleep(0.3)
-    return generator.rows, cores
-
-
-def measure_speed(plan, folder):
-    """Measures each rate of the first stream straight to its servers, through one proxy and through all, alternately in
-    one run. Returns the report's rows, one for each path and rate. Raises `RunFailedError`."""
-    from . import report
-
-    stream, length_s = plan.streams[0], plan.speed.seconds
-    service = next(route for route in plan.routes if route.name == stream.route).service
-
-    async def measure_all(system):
-        await system.start()
-        await asyncio.sleep(1.0)
-        fronts = [parse_address(node.front) for node in system.nodes]
-        paths = {
-            "direct": [parse_address(box.address) for box in system.boxes if box.profile.service == service],
-            "one pilot": fronts[:1],
-            f"{len(fronts)} pilots": fronts,
-        }
-        rows = []
-        for rate in plan.speed.rates:
-            rate_plan = system.plan = msgspec.structs.replace(
-                plan,
-                duration_s=length_s,
-                warmup_s=min(1.0, length_s / 4),
-                streams=[msgspec.structs.replace(stream, rate=rate, kept=1.0, from_s=0.0, until_s=0.0)],
-            )
-            rounds_by_path = {path: [] for path in paths}
-            for number in range(plan.speed.rounds):
-                arrivals = schedule.arrivals(rate_plan, plan.seed + number)
-                for path, addresses in paths.items():
-                    rounds_by_path[path].append(await measure_path(system, arrivals, length_s, addresses))
-            rows += [report.speed_row(rate_plan, path, rate, rounds) for path, rounds in rounds_by_path.items()]
-        return report.add_latency_differences(rows)
-
-    written = run_in_system(plan, "system", plan.seed, folder, measure_all)
-    (Path(folder) / "report.json").write_text(json.dumps(written, indent=1))
-    return written
