--- a/rampfront/lab/system/disturbances.py
+++ b/rampfront/lab/system/disturbances.py
@@ -26,7 +26,7 @@
 _MAX_MEMBERS_DOWN = 1
 _MIN_PAUSE_S, _MAX_PAUSE_S = 0.2, 2.5  # between two disturbances of one node
 _MAX_GAP_S = 0.4  # between two signals of one series
-_EXIT_TIMEOUT_S = 4.0  # after which a node that was told to end is killed
+_EXIT_TIMEOUT_S = 4.0  # after which a node that got SIGTERM is killed
 _POLL_S = 0.01
 _EVIDENCE_INTERVAL_S = 0.5
 _SERVER_PAUSE_S = 0.8  # the longest between two disturbances of servers
@@ -105,13 +105,13 @@
         await asyncio.sleep(self._rng.uniform(0.0, _MAX_GAP_S))
 
     async def _reload(self) -> None:
-        """The settings are read again several times in a row, while the log is asked for its counters."""
+        """Several SIGHUPs in a row: the settings are read again each time."""
         for _ in range(self._rng.randint(1, 4)):
             self._send(signal.SIGHUP)
             await self._gap()
 
     async def _freeze(self) -> None:
-        """The process stands still; signals that arrive meanwhile are delivered together at its end."""
+        """The process is stopped for a while; signals that arrive meanwhile are delivered together afterwards."""
         self._send(signal.SIGSTOP)
         await self._gap()
         if self._rng.random() < _RELOAD_WHILE_FROZEN:
--- a/rampfront/lab/system/misbehaving_server.py
+++ b/rampfront/lab/system/misbehaving_server.py
@@ -104,7 +104,7 @@
             connection.transport.pause_reading()
 
     def on_connection_closed(self, connection: Connection, pending_request: Request | None) -> None:
-        """Forgets what was still to be sent on the connection."""
+        """Discards what remains to be sent on the connection."""
         super().on_connection_closed(connection, pending_request)
         self._copies.pop(connection, None)
         self._rejected_early.discard(connection)
--- a/rampfront/lab/system/soak.py
+++ b/rampfront/lab/system/soak.py
@@ -31,7 +31,7 @@
 from .soak_plan import SoakSize, draw_plan, draw_shares
 
 _STICKY_SHARE = 0.7  # of the requests that stay with a front while a connection to it is open
-_LATE_EXECUTION_S = 1.0  # after the last answer, in which servers execute what they still hold
+_EXECUTION_GRACE_S = 1.0  # after the last answer, in which servers execute what they still hold
 _TOTALS = re.compile(r" totals why=end (.*)$", re.M)
 _REFUSAL = re.compile(r"refusal try=(?P<try_id>\S+) attempts=\S+")
 _UNEXECUTED_PREFIX = "unexecuted_"
@@ -115,7 +115,7 @@
         return [[SoakClient(self, zone, number) for number in range(self.plan.clients)] for zone in self.plan.zones]
 
     def begin_disturbances(self) -> None:
-        """Starts the disturbances; the time of the whole run counts as disturbed."""
+        """Starts the disturbances; the whole run counts as disturbed."""
         self.fault_starts["soak"] = self.started_at
         self._tasks = start_disturbances(self, self._rng)
 
@@ -127,7 +127,7 @@
             task.cancel()
         for server in self.fleet.servers.values():
             server.resume_reading()
-        await asyncio.sleep(_LATE_EXECUTION_S)
+        await asyncio.sleep(_EXECUTION_GRACE_S)
         for node in self.nodes:
             child = self.children[node.name]
             if child.poll() is None:
@@ -142,6 +142,7 @@
     result = SoakResult(seed)
 
     async def run_and_judge(system: SoakSystem) -> None:
+        """Runs the system and fills in the result."""
         generator = await system.run()
         _summarize(system, generator, result)
 
@@ -196,7 +197,7 @@
 
 
 def play_seeds(seeds: Iterable[int], size: SoakSize, out: Path, jobs: int) -> Iterator[SoakResult]:
-    """Plays the runs of the seeds, `jobs` at the same time; yields each result as it comes."""
+    """Plays the runs of the seeds, `jobs` at the same time; yields each result once it is known."""
     with ProcessPoolExecutor(jobs) as pool:
         futures = [pool.submit(play, seed, size, out) for seed in seeds]
         for future in as_completed(futures):
--- a/rampfront/lab/system/speed.py
+++ b/rampfront/lab/system/speed.py
@@ -1,6 +1,6 @@
 """Measures what the proxies add to a request: straight to the servers, through one proxy, and through all of them.
 
-The paths are measured alternately in one run, so that a change of the machine's load meets all of them.
+The paths alternate within one run, so that a change of the machine's load affects all of them.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from .plan import Experiment
 from .run import EmulatedSystem, run_in_system
 
-_SETTLE_S = 1.0  # from the moment when all nodes are ready to the first measurement
+_STABILIZATION_S = 1.0  # from the moment when all nodes are ready to the first measurement
 _LEAD_S = 0.25  # from the creation of a load to its first request
 _PAUSE_S = 0.3  # between two measurements
 _WARMUP_DIVISOR = 4  # the longest warm-up is the measurement's length divided by this
@@ -36,8 +36,9 @@
     Raises `RunFailedError`."""
 
     async def measure(system: EmulatedSystem) -> list[dict[str, Any]]:
+        """Returns the rows of all rates."""
         await system.start()
-        await asyncio.sleep(_SETTLE_S)
+        await asyncio.sleep(_STABILIZATION_S)
         paths = _paths(system)
         rows: list[dict[str, Any]] = []
         for rate in plan.speed.rates:
--- a/rampfront/node/__main__.py
+++ b/rampfront/node/__main__.py
@@ -16,6 +16,7 @@
     from asyncio import AbstractEventLoop
     from collections.abc import Awaitable, Callable
 
+    from ..net.startup_signals import StartupSignals
     from .node_process import NodeProcess
 
 os.environ.setdefault("UV_USE_IO_URING", "0")  # must be set before the loop is created; some machines lack io_uring
@@ -57,16 +58,21 @@
     seed = int.from_bytes(os.urandom(SEED_BYTES), "big")
     node = (build or assembly.build_node_process)(loop, settings, log, seed)
     loop.run_until_complete((open_listeners or endpoints.open_listeners)(node))
+    run_node(loop, node, path, startup_signals)
+    return EXIT_OK
+
+
+def run_node(loop: AbstractEventLoop, node: NodeProcess, settings_path: str, startup_signals: StartupSignals) -> None:
+    """Start a node whose listeners are open, and return when it has shut down."""
     node.start()
-    node.settings_reloader.watch(path)
+    node.settings_reloader.watch(settings_path)
     gc.collect()
     gc.freeze()  # exempts the objects created at startup from garbage collection
-    handle_signals(loop, node, path)
+    handle_signals(loop, node, settings_path)
     if startup_signals.reload_requested:
-        node.settings_reloader.reload(path)
+        node.settings_reloader.reload(settings_path)
     loop.run_forever()
     node.record_diagnostics("end")
-    return EXIT_OK
 
 
 def handle_signals(loop: AbstractEventLoop, node: NodeProcess, settings_path: str) -> None:
--- a/rampfront/proxy/refusal_log.py
+++ b/rampfront/proxy/refusal_log.py
@@ -1,8 +1,8 @@
 """The latest refusals of requests that had been written to a server, each with the evidence for its promise.
 
-A 503 after an attempt promises that the request has not run. If one has run nevertheless, this log tells which server's
-response was relied on, and on which connection. It is bounded, is kept in memory, and is written on request (SIGUSR1)
-and at the end of the process.
+A 503 after an attempt promises that the request has not run. If one has run nevertheless, this log shows which server's
+response it relied on, and on which connection. The log is bounded, is kept in memory, and is written on request
+(SIGUSR1) and when the process ends.
 """
 
 from collections import deque
@@ -48,7 +48,7 @@
         self._refusals: deque[Refusal] = deque(maxlen=_MAX_REFUSALS)
 
     def __iter__(self) -> Iterator[Refusal]:
-        """Yields the refusals, the oldest first."""
+        """Iterates over the refusals, the oldest first."""
         return iter(self._refusals)
 
     def add(self, refusal: Refusal) -> None:
