Edge node: a connection rests after a rejection, so that its copy does not refuse what runs

What callers would see: 503 for a transaction that a server runs, or a second run of one that may run once.

So the copy of a rejection counted for the next submission.

Change: a connection is not used for 20 ms after a rejection; bytes that come meanwhile close it, as on any idle one. The system's proxy has ids and needs no rest.

--- a/rampfront/net/limits.py
+++ b/rampfront/net/limits.py
@@ -30,6 +30,9 @@
     """The timeout of a connect to a server."""
     server_idle_timeout_ns: int
     """An idle connection to a server is closed after this time, well before the server closes it."""
+    rejection_copy_window_ns: int = 0
+    """An idle connection to a server is not used for this time after a rejection: the server may send it twice, the
+    second copy late, and on a wire whose answers have no ids that would be taken for a rejection of the next one."""
     listen_backlog: int = 1024
 
     # ---- messages
@@ -118,6 +121,7 @@
 
 _RESERVED_DESCRIPTORS = 32  # for the listener, the event loop, standard streams, counter and discovery
 _OVERFLOW_DESCRIPTORS = 16
+_REJECTION_COPY_WINDOW_NS = 20 * _MS
 
 
 def compute_limits(descriptors: int, connect_timeout_ns: int, server_keepalive_ns: int) -> NetworkLimits:
@@ -140,6 +144,7 @@
         max_server_connections=server_connections,
         connect_timeout_ns=connect_timeout_ns,
         server_idle_timeout_ns=2 * server_keepalive_ns // 3,
+        rejection_copy_window_ns=_REJECTION_COPY_WINDOW_NS,
     )
 
 
--- a/rampfront/net/server_connection.py
+++ b/rampfront/net/server_connection.py
@@ -95,6 +95,7 @@
         sent_at_ns: when the submission or health check began.
         idle_since_ns: when it became idle.
         non_execution: why the submission counts as not run; None while it may have run.
+        usable_from_ns: the time from which it may be used again after a rejection.
     """
 
     __slots__ = (
@@ -108,6 +109,7 @@
         "sent_at_ns",
         "idle_since_ns",
         "non_execution",
+        "usable_from_ns",
         "_connect_task",
         "_due_ns",
         "_timer",
@@ -126,6 +128,7 @@
         self.sent_at_ns = 0
         self.idle_since_ns = 0
         self.non_execution: NonExecution | None = None
+        self.usable_from_ns = 0
         self._connect_task: asyncio.Task[Any] | None = None
         self._due_ns = 0  # the time at which the submission or health check times out
         self._timer: Timer | None = None
@@ -137,8 +140,10 @@
         return transport is not None and not transport.is_closing() and not has_unread_input(transport)
 
     def may_carry(self, exchange: ExchangeT | None) -> bool:
-        """Whether the exchange may be submitted on this idle connection; `exchange` is None for a health check."""
-        return True
+        """Whether the exchange may be submitted on this idle connection; `exchange` is None for a health check.
+
+        A second copy of a rejection would be taken for the next answer, so it must have had the time to arrive."""
+        return self.pool.clock() >= self.usable_from_ns
 
     # ---- a submission or health check
 
@@ -200,6 +205,7 @@
     def finish_unexecuted(self, ground: NonExecution, keep: bool = False) -> None:
         """Ends a submission that the server has not run. `keep`: whether the connection may be used again."""
         self.non_execution = ground
+        self.usable_from_ns = self.pool.clock() + self.pool.limits.rejection_copy_window_ns
         self.finish(ground.outcome, keep)
 
     def submission_end(self, exchange: ExchangeT, outcome: int, duration_ns: int) -> SubmissionEnd[ExchangeT]:
