--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -334,6 +334,12 @@
                     raise CannotRun(f"{machine.name} does not become ready")
                 await asyncio.sleep(0.1)
 
+    def check_running(self):
+        """Raises CannotRun if a process has ended by itself."""
+        for machine in self.machines:
+            if not machine.running:
+                raise CannotRun(f"the process of {machine.name} has ended by itself")
+
     async def end(self):
         """Ends all processes that were started, and removes the folder."""
         for machine in self.machines:
@@ -409,13 +415,21 @@
     writer.transport.abort()
 
 
+async def _play(record, play):
+    """Plays a case for 115 s at most. SIGTERM, SIGINT and SIGHUP cancel it, so that it ends its processes."""
+    task = asyncio.ensure_future(play(record))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, 115)
+
+
 def main(folder, play):
     """Runs a case: `await play(record)` returns True if the rule held. Exits with 0, or 1 if it was broken, or 2."""
     record = Record(folder)
     record.write(f"TROUBLE={int(TROUBLE)}")
     try:
-        held = asyncio.run(asyncio.wait_for(play(record), 115))
-    except (CannotRun, TimeoutError) as error:
+        held = asyncio.run(_play(record, play))
+    except BaseException as error:  # also an interrupt: only a finished run may say that the rule was broken
         record.write(f"the case could not run: {error!r}")
         sys.exit(2)
     record.write("the rule held" if held else "the rule was broken")
