An order on a zone is carried out only while its caller may still wait for the answer

In the same way an `empty.start` that was given up left a zone evacuated for ever.

Cause: callers are not identified, repeat an order elsewhere after a second, and nothing bounded by when an order takes effect. Its time began when it was read, not when it came, and the leader took requests however long they had been on their way.

Change: the time of an order begins when its last byte reached the machine (`TCP_INFO`), and it is sent to the leader only while the caller's connection is established. The leader gets a deadline that needs no comparison of clocks: so long behind the arrival of a heartbeat that it has answered. Behind it the order is not carried out (`late`), at any leader. No frame and no round trip more: an order frame has one key more, which older leaders ignore; orders of older nodes have none. Log event `order given up`, metrics `orders_given_up` and `orders_late`.

--- a/rampfront/membership/dissemination.py
+++ b/rampfront/membership/dissemination.py
@@ -288,7 +288,7 @@
         if leadership.is_leader or not state_is_current:
             return
         if response.age_ns is not None and self._is_own_answer(response, now):
-            leadership.confirm(ip, response.leader, response.requested_at_ns, response.age_ns)
+            leadership.confirm(ip, response.leader, response.requested_at_ns, response.age_ns, now)
         if leadership.follow(response.leader, response.term, now):
             self.schedule.expedite()
 
--- a/rampfront/membership/leadership.py
+++ b/rampfront/membership/leadership.py
@@ -27,6 +27,20 @@
     confirmed_at_ns: int | None
 
 
+class LeaderAnswer(NamedTuple):
+    """The leader's answer to a heartbeat of this node. The leader received the heartbeat between the two times.
+
+    Attributes:
+        leader: address of the leader.
+        requested_at_ns: when this node sent the heartbeat, by its own clock.
+        received_at_ns: when the answer arrived, by the same clock.
+    """
+
+    leader: str
+    requested_at_ns: int
+    received_at_ns: int
+
+
 class Leadership:
     """The leader that this node knows, which may be this node.
 
@@ -36,6 +50,7 @@
         is_leader: whether this node is the leader.
         confirmed_at_ns: a majority of the core confirmed this node's replicas then or later, by the local clock; None:
             not known.
+        last_answer: the leader's answer to the newest heartbeat that was answered; None: there is none.
     """
 
     def __init__(self, own_ip: str) -> None:
@@ -44,6 +59,7 @@
         self.term = 0
         self.is_leader = False
         self.confirmed_at_ns: int | None = None
+        self.last_answer: LeaderAnswer | None = None
         self._own_ip = own_ip
         self._answered_at_ns = 0  # when the leader last gave a current answer
         self._leader_request_at_ns: int | None = None  # when this node sent the request that the leader last answered
@@ -70,7 +86,7 @@
         """Time since a majority confirmed the replicas; None: not known."""
         return None if self.confirmed_at_ns is None else max(0, now - self.confirmed_at_ns)
 
-    def confirm(self, sender: str, leader: str, requested_at_ns: int, age_ns: int) -> None:
+    def confirm(self, sender: str, leader: str, requested_at_ns: int, age_ns: int, now: int) -> None:
         """Applies the age in a response.
 
         Args:
@@ -78,8 +94,11 @@
             leader: address of the leader that the response names.
             requested_at_ns: when this node sent the request.
             age_ns: how long before the request a majority confirmed the data in the response.
+            now: ns.
         """
         if sender == leader:
+            if self.last_answer is None or self.last_answer.requested_at_ns < requested_at_ns:
+                self.last_answer = LeaderAnswer(leader, requested_at_ns, now)
             self._leader_request_at_ns = max(self._leader_request_at_ns or requested_at_ns, requested_at_ns)
         confirmed_at_ns = requested_at_ns - age_ns
         if self.confirmed_at_ns is None or confirmed_at_ns > self.confirmed_at_ns:
--- a/rampfront/membership/peers.py
+++ b/rampfront/membership/peers.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 from .messages import Heartbeat
 from .roster import RosterEntry
@@ -18,6 +19,18 @@
 PREVIOUS_INCARNATION_NS = 3 * SEC
 
 
+class Arrival(NamedTuple):
+    """The times of one heartbeat.
+
+    Attributes:
+        sent_at_ns: by the node's clock.
+        received_at_ns: by the leader's clock.
+    """
+
+    sent_at_ns: int
+    received_at_ns: int
+
+
 class Peer:
     """A node that sends heartbeats to the leader.
 
@@ -26,6 +39,7 @@
         versions: the versions that it holds, as far as is known.
         received_at_ns: arrival time of the last heartbeat.
         sent_at_ns: when that heartbeat was sent, by the node's clock.
+        previous_arrival: the times of the heartbeat before, of which the node may have the answer already.
         incarnation: of the process at this address; None: no heartbeat received yet.
         previous_incarnation: of the process before.
         incarnation_since_ns: when `incarnation` was first received.
@@ -35,6 +49,7 @@
         "entry",
         "incarnation",
         "incarnation_since_ns",
+        "previous_arrival",
         "previous_incarnation",
         "received_at_ns",
         "sent_at_ns",
@@ -47,6 +62,7 @@
         self.versions = versions
         self.received_at_ns = received_at_ns
         self.sent_at_ns = 0
+        self.previous_arrival = Arrival(0, 0)
         self.incarnation: int | None = None
         self.previous_incarnation: int | None = None
         self.incarnation_since_ns = 0
@@ -56,9 +72,19 @@
         if self._accept(heartbeat.incarnation or 0, heartbeat.sent_at_ns, now):
             self.entry = _updated_entry(self.entry, heartbeat)
             self.versions = heartbeat.versions
+            self.previous_arrival = Arrival(self.sent_at_ns, self.received_at_ns)
             self.received_at_ns = now
             self.sent_at_ns = heartbeat.sent_at_ns
 
+    def arrival_of(self, sent_at_ns: int) -> int | None:
+        """When the heartbeat that was sent at that time arrived; None if it is neither of the last two."""
+        if not sent_at_ns:
+            return None
+        if sent_at_ns == self.sent_at_ns:
+            return self.received_at_ns
+        previous = self.previous_arrival
+        return previous.received_at_ns if sent_at_ns == previous.sent_at_ns else None
+
     def _accept(self, incarnation: int, sent_at_ns: int, now: int) -> bool:
         """Updates the incarnation; returns whether the heartbeat is newer than the last one.
 
--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple, Protocol, TypeAlias
 
 from .http_status import BAD_REQUEST, HttpStatusError
+from .tcp_state import TcpState
 
 JSON = b"application/json"
 TEXT = b"text/plain"
@@ -57,6 +58,11 @@
         """Host and port of the peer."""
         raise NotImplementedError
 
+    @property
+    def tcp_state(self) -> TcpState | None:
+        """The state of its TCP connection, or None if that is not known."""
+        raise NotImplementedError
+
     def respond(self, response: Response, on_delivery: DeliveryCallback | None = None) -> None:
         """Writes the response to `request`, and calls `on_delivery` with its delivery."""
         raise NotImplementedError
@@ -101,6 +107,24 @@
         """Whether it needs no response, because it has one or its connection has ended."""
         return self._connection is None or self._connection.request is not self
 
+    def is_awaited(self) -> bool:
+        """Whether its sender still waits for the response. Each call is a system call.
+
+        The end of the sender's stream counts as soon as the kernel has it, even if it is not read yet.
+        """
+        if self._connection is None or self.finished:
+            return False
+        state = self._connection.tcp_state
+        return state is None or state.is_established
+
+    def age_ns(self) -> int:
+        """The time since its last byte arrived at this machine; 0 if that is not known. Each call is a system call.
+
+        It includes the time in which the process was suspended or busy and had not read the request.
+        """
+        state = self._connection.tcp_state if self._connection is not None else None
+        return state.data_age_ns if state is not None else 0
+
     def respond(
         self,
         status: int,
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -25,6 +25,7 @@
 from .http_request_reader import BodyBudget, RequestReader
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
+from .tcp_state import TcpState, read_tcp_state
 
 RETRY_AFTER_S = b"0.3"  # sent with each 503 response
 _UNNAMED_REASON = b"Said"  # the reason phrase of a status code that is not in the table
@@ -100,6 +101,11 @@
         """Host and port of the peer. Each access is a system call."""
         return cast("tuple[str, int] | None", self.transport.get_extra_info("peername"))
 
+    @property
+    def tcp_state(self) -> TcpState | None:
+        """The state of its TCP connection, or None if that is not known. Each access is a system call."""
+        return read_tcp_state(self.transport)
+
     @property
     def idle(self) -> bool:
         """Whether nothing is in progress on it."""
--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -138,7 +138,7 @@
         self.server_list = ServerListService(context, self.core, disseminator, self.request_proxy, self.health_registry)
         self.server_health = ServerHealthExchange(context, disseminator, self.request_proxy, self.health_registry)
         self.leadership = LeadershipMonitor(context, self.core, disseminator, self.server_list, self.readiness)
-        self.order_executor = OrderExecutor(context, self.core)
+        self.order_executor = OrderExecutor(context, self.core, disseminator.peer_table)
         self.orders = OrderSubmitter(context, self.core, disseminator, self.order_executor)
 
     def build_lifecycle(self) -> None:
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -20,6 +20,7 @@
 from ..net.http_routing import endpoint
 from ..settings import configuration_reader
 from .evacuation_view import evacuation_view
+from .order_messages import GIVEN_UP
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -145,9 +146,10 @@
                 request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
                 reply(request, NO_ANSWER)
-                on_delivery(Delivery.LOST)  # the order may be in force, but its caller got no acknowledgement
+                if outcome != GIVEN_UP:  # the order may be in force, but its caller got no acknowledgement
+                    on_delivery(Delivery.LOST)
 
-        self._orders.submit(kind, zone, on_done, identity)
+        self._orders.submit(kind, zone, on_done, identity, caller=request)
         return None
 
 
--- a/rampfront/node/log_events.py
+++ b/rampfront/node/log_events.py
@@ -63,6 +63,12 @@
     "the core's record on disk can't be read: the node serves clients, but is no member until it starts anew",
 )
 STORE_FAILED = LogEvent("store failed", "error", "party error", "the disk refused the core's record: tried again")
+ORDER_GIVEN_UP = LogEvent(
+    "order given up",
+    "info",
+    "party age_ms",
+    "an order on a zone (`party`: its kind) was not carried out: its caller no longer waited for the answer",
+)
 ORDER_REPLY_DROPPED = LogEvent(
     "order reply dropped",
     "info",
--- a/rampfront/node/order_executor.py
+++ b/rampfront/node/order_executor.py
@@ -6,11 +6,12 @@
 
 from ..consensus.events import Outcome
 from ..consensus.state import digest
-from .order_messages import BUSY, OrderKey, OrderReply, OrderRequest
+from .order_messages import BUSY, LATE, OrderDeadline, OrderKey, OrderReply, OrderRequest
 from .order_table import Admission, OrderTable
 
 if TYPE_CHECKING:
     from ..consensus.state import State
+    from ..membership.peers import PeerTable
     from ..transport.frames import Message
     from .context import NodeContext
     from .core_driver import CoreDriver
@@ -20,12 +21,13 @@
 class OrderExecutor:
     """Executes the orders that this node receives as the leader, and rejects them when it does not lead."""
 
-    def __init__(self, context: NodeContext, core: CoreDriver) -> None:
-        """`core` executes the orders."""
+    def __init__(self, context: NodeContext, core: CoreDriver, peers: PeerTable) -> None:
+        """`core` executes the orders; `peers`: when other nodes' heartbeats arrived."""
         self._context = context
         self._own_ip = context.process_settings.ip
         self._wire = context.wire
         self._core = core
+        self._peers = peers
         self._local_replies: ReplyReceiver
         self.table = OrderTable()
 
@@ -46,9 +48,19 @@
             self._reply(key, outcome, self._core.committed_state if outcome == Outcome.DONE else None)
         elif not self._core.is_leader:
             self._reply(key, Outcome.NOT_LEADER)
+        elif request.deadline is not None and self._is_late(ip, request.deadline):
+            self._context.counts["orders_late"] += 1
+            if not self.table.is_in_flight(key):
+                self._reply(key, LATE)
         else:
             self._admit(key, request)
 
+    def _is_late(self, ip: str, deadline: OrderDeadline) -> bool:
+        """Whether the deadline of an order of the node at `ip` has passed, or its heartbeat is not known here."""
+        peer = self._peers.by_ip.get(ip)
+        arrived_at = peer.arrival_of(deadline.heartbeat_sent_at) if peer is not None else None
+        return arrived_at is None or self._context.clock() - arrived_at > deadline.valid_ns
+
     def _admit(self, key: OrderKey, request: OrderRequest) -> None:
         """Pass a new order to this node's core member, which leads."""
         configuration = request.configuration
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -4,6 +4,9 @@
 format are defined in one list below; no other module uses them. `decode` raises `MalformedMessageError`, upon which the
 transport drops and counts the frame.
 
+An order on a zone is carried out only until a deadline, by which its caller gives up. The leader decides by its own
+clock (`OrderDeadline`), so a request that was delayed on its way is not carried out however late it arrives.
+
 An order is identified like a client's request in Raft (dissertation, section 6.3): by the client and the client's
 sequence number. The client is a node's address together with its incarnation, which its process draws at random at each
 start. Only one process at a time uses an address, so the node's name is not needed and not sent.
@@ -27,12 +30,17 @@
 REPORT = "w"
 OUTCOME = "v"
 STATE = "S"
+DEADLINE = "d"
 
 REQUEST_FRAME = "order"
 REPLY_FRAME = "said"
 
 BUSY = "busy"  # not accepted: the table of orders in flight is full, at the leader or at this node
-OUTCOMES = frozenset((Outcome.DONE, Outcome.NOT_LEADER, Outcome.REJECTED, Outcome.UNKNOWN, Outcome.CONFLICT, BUSY))
+LATE = "late"  # not carried out: the deadline has passed, or the leader cannot tell whether it has
+GIVEN_UP = "given up"  # not sent: the caller no longer waits for the answer; at the submitting node only
+OUTCOMES = frozenset(
+    (Outcome.DONE, Outcome.NOT_LEADER, Outcome.REJECTED, Outcome.UNKNOWN, Outcome.CONFLICT, BUSY, LATE)
+)
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they are based on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of an order with a configuration
 REPORT_KINDS = (OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST)
@@ -40,6 +48,7 @@
 INCARNATION_BITS = 32
 INCARNATION_LIMIT = 1 << INCARNATION_BITS
 LARGEST_NUMBER = 1 << 53  # JSON parsers of other languages represent smaller integers exactly
+LARGEST_TIME = 1 << 62  # ns
 
 # A revision and its compressed bytes; a zone and the identity of an order on it; a zone; or nothing.
 OrderBody: TypeAlias = tuple[int, bytes] | tuple[str, int] | str | None
@@ -49,6 +58,21 @@
     """A message in which a field is missing or invalid."""
 
 
+class OrderDeadline(NamedTuple):
+    """Until when the leader may carry out an order, without a comparison of the clocks of two machines.
+
+    The submitting node has the leader's answer to one of its heartbeats. The leader received the heartbeat before the
+    node received the answer. So a time that is `valid_ns` behind the answer at the node comes no earlier than the one
+    that is as much behind the heartbeat at the leader, whatever the delays of heartbeat, answer and order.
+
+    `heartbeat_sent_at`: identifies the heartbeat; ns of the node's clock. `valid_ns`: how long after the arrival of
+    that heartbeat the leader may carry out the order.
+    """
+
+    heartbeat_sent_at: int
+    valid_ns: int
+
+
 class OrderKey(NamedTuple):
     """Identifies an order at the leader: the submitting node, its incarnation, and the order's number there."""
 
@@ -61,7 +85,7 @@
     """An order, as it is sent to the leader of the core.
 
     `kind`: one of `OrderKind`. `identity`: identifies an order on a zone in reports on its answer; 0 for all other
-    orders, and from nodes of older versions.
+    orders, and from nodes of older versions. `deadline`: after which the order is not carried out; None if it has none.
     """
 
     incarnation: int
@@ -69,6 +93,7 @@
     kind: str
     body: OrderBody
     identity: int = 0
+    deadline: OrderDeadline | None = None
 
     @property
     def configuration(self) -> bytes | None:
@@ -93,6 +118,8 @@
         }
         if self.identity:
             frame[IDENTITY] = self.identity
+        if self.deadline is not None:
+            frame[DEADLINE] = list(self.deadline)
         if self.kind in REPORT_KINDS and isinstance(self.body, tuple):
             frame |= {ORDER_KIND: str(OrderKind.READ), BODY: None, REPORT: [str(self.kind), *self.body]}
         return frame
@@ -107,7 +134,8 @@
         if type(kind) is not str or kind not in BODY_CHECKS:
             raise MalformedMessageError("order: unknown kind")
         check_body = BODY_CHECKS[kind]
-        return cls(incarnation, number, kind, check_body(frame.get(BODY)), _check_order_identity(frame))
+        identity, deadline = _check_order_identity(frame), _check_deadline(frame)
+        return cls(incarnation, number, kind, check_body(frame.get(BODY)), identity, deadline)
 
 
 class OrderReply(NamedTuple):
@@ -191,6 +219,18 @@
     return identity
 
 
+def _check_deadline(frame: Message) -> OrderDeadline | None:
+    """Return the deadline of an order; None if it has none."""
+    if DEADLINE not in frame:
+        return None
+    fields = frame[DEADLINE]
+    if not isinstance(fields, (list, tuple)) or len(fields) != len(OrderDeadline._fields):
+        raise MalformedMessageError("order: a deadline must be the time of a heartbeat and a duration")
+    if any(type(field) is not int or not 0 <= field < LARGEST_TIME for field in fields):
+        raise MalformedMessageError("order: invalid deadline")
+    return OrderDeadline(*fields)
+
+
 def _check_report(fields: object) -> tuple[str, tuple[str, int]]:
     """Return the kind and the body of a report."""
     if not isinstance(fields, (list, tuple)) or len(fields) != len(REPORT_FIELDS):
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -4,6 +4,11 @@
 however often it arrives (`order_executor.py`). The caller is answered before operators give up (PROTOCOL.md: after a
 second without an answer). A reply is accepted only from a node that the order was sent to in this incarnation of the
 process; every other reply is dropped and counted.
+
+The caller of an order on a zone is not identified, and repeats the order at another node after a second without an
+answer. If the order were carried out after that, it could undo one that was given and acknowledged meanwhile. Therefore
+it is sent only while its caller waits for the answer, the time in which it lay unread at this machine counts, and the
+leader gets a deadline (`order_messages.OrderDeadline`).
 """
 
 from __future__ import annotations
@@ -13,21 +18,21 @@
 from ..consensus.events import Outcome
 from . import log_events
 from .open_order import OpenOrder
-from .order_messages import BUSY, INCARNATION_BITS, OrderReply, OrderRequest, decode_identity
+from .order_messages import BUSY, GIVEN_UP, INCARNATION_BITS, LATE, OrderReply, OrderRequest, decode_identity
 
 if TYPE_CHECKING:
     from ..membership.dissemination import Disseminator
     from ..transport.frames import Message
     from .context import NodeContext
     from .core_driver import CoreDriver
-    from .open_order import OrderCallback
+    from .open_order import Caller, OrderCallback
     from .order_executor import OrderExecutor
     from .order_messages import OrderBody
 
 MS = 10**6
 ANSWER_TIMEOUT_NS = 800 * MS  # leaves a fifth of a caller's second for the network
 RESEND_AFTER_NS = 300 * MS
-RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # after a reply that the node does not lead
+RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # after a reply that the node does not lead, or was asked too late
 MAX_OPEN = 256  # orders of this node without an answer
 NUMBER_BITS = 20  # low bits of an order's identity; the higher bits are the incarnation
 MAX_IDENTITIES = (1 << NUMBER_BITS) - 1
@@ -64,20 +69,28 @@
         self._identities = self._identities % MAX_IDENTITIES + 1
         return self.incarnation << NUMBER_BITS | self._identities
 
-    def submit(self, kind: str, body: OrderBody, on_done: OrderCallback, identity: int = 0) -> None:
+    def submit(
+        self, kind: str, body: OrderBody, on_done: OrderCallback, identity: int = 0, caller: Caller | None = None
+    ) -> None:
         """Submit an operator's order, or a report on an answer. `on_done` is called once, within ANSWER_TIMEOUT_NS.
 
-        `identity`: identifies an order on a zone; 0 for all others.
+        `identity`: identifies an order on a zone; 0 for all others. `caller`: if given, the order is carried out only
+        while its caller waits for the answer.
         """
         counts = self._context.counts
         now = self._context.clock()
+        due = now + ANSWER_TIMEOUT_NS - (caller.age_ns() if caller is not None else 0)
+        if caller is not None and (now >= due or not caller.is_awaited()):
+            self._note_given_up(kind, due, now)
+            on_done(GIVEN_UP, None)
+            return
         if len(self.open) >= MAX_OPEN:
             counts["orders_busy"] += 1
             on_done(BUSY, None)
             return
         self._number += 1
         request = OrderRequest(self.incarnation, self._number, kind, body, identity)
-        order = OpenOrder(request, now + ANSWER_TIMEOUT_NS, self._disseminator.state_index, on_done)
+        order = OpenOrder(request, due, self._disseminator.state_index, on_done, caller)
         self.open[self._number] = order
         counts["orders"] += 1
         # A timer instead of the next tick, by which the caller may have given up.
@@ -91,11 +104,21 @@
                 self._send(order, now)
 
     def _send(self, order: OpenOrder, now: int) -> None:
-        """Send an order to the leader, if one is known."""
+        """Send an order to the leader, if one is known, or end it if its caller has given up."""
+        if order.is_given_up(now):
+            self._note_given_up(order.request.kind, order.due, now)
+            self._expire(order)
+            return
         order.resend_at = now + RESEND_AFTER_NS
         leader = self._leader()
         if leader is None:
             return
+        if order.caller is not None and leader != self._own_ip:
+            answer = self._disseminator.leadership.last_answer
+            if answer is None or answer.leader != leader:  # the next heartbeat is on its way
+                order.resend_at = now + RESEND_AFTER_NOT_LEADER_NS
+                return
+            order.set_deadline(answer)
         order.note_sent(leader)
         if leader == self._own_ip:
             self._executor.execute(self._own_ip, order.request)
@@ -137,12 +160,17 @@
         rejection_reason = order.rejection_reason(ip, reply)
         if rejection_reason:
             self._drop(ip, rejection_reason)
-        elif reply.outcome == Outcome.NOT_LEADER:
+        elif reply.outcome in (Outcome.NOT_LEADER, LATE):
             order.resend_at = self._context.clock() + RESEND_AFTER_NOT_LEADER_NS
         else:
             del self.open[reply.number]
             order.on_done(reply.outcome, reply.state)
 
+    def _note_given_up(self, kind: str, due: int, now: int) -> None:
+        age_ms = (now - due + ANSWER_TIMEOUT_NS) // MS
+        self._context.counts["orders_given_up"] += 1
+        self._context.log.record_limited(log_events.ORDER_GIVEN_UP, kind, age_ms=age_ms)
+
     def _drop(self, ip: str, reason: str) -> None:
         self._context.counts["replies_unsolicited"] += 1
         self._context.log.record_limited(log_events.ORDER_REPLY_DROPPED, ip, reason=reason)
--- a/rampfront/node/order_table.py
+++ b/rampfront/node/order_table.py
@@ -64,6 +64,10 @@
         found = self.answered.get(key)
         return found.outcome if found else None
 
+    def is_in_flight(self, key: OrderKey) -> bool:
+        """Return whether the core has the order and has not answered it yet."""
+        return key in self.in_flight
+
     def admit(self, key: OrderKey, kind: str, now: int, body_digest: bytes = b"") -> Admission:
         """Record an order as in flight, unless it already is or the table is full.
 
--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -393,6 +393,14 @@
         """`respond`: called with an answer that is not given at once."""
         self.query, self.body, self.respond, self.path, self.idempotency_key = query, body, respond, "", b""
 
+    def is_awaited(self):
+        """Whether the caller still waits for the answer."""
+        return True
+
+    def age_ns(self):
+        """The time since the call arrived."""
+        return 0
+
 
 class Fleet(EventScheduler):
     """All machines, their links, the servers and the platform, on one fake clock.
--- a/rampfront/simulation/rules.py
+++ b/rampfront/simulation/rules.py
@@ -70,7 +70,7 @@
                 self.on_request_read(machine, node_process, request)
             handle_request(client, received)
 
-        def submit_observed(kind, body, done, identity=0):
+        def submit_observed(kind, body, done, identity=0, caller=None):
             call = fleet.calling
 
             def on_ended(verdict, state):
@@ -78,7 +78,7 @@
                     self.safety_checker.record_acknowledgement(fleet.now, call, state)
                 done(verdict, state)
 
-            submit(kind, body, on_ended, identity)
+            submit(kind, body, on_ended, identity, caller)
 
         node_process.replicated_state.apply = apply_observed
         node_process.leadership.update = update_observed
--- a/tests/http_server_fixtures.py
+++ b/tests/http_server_fixtures.py
@@ -29,6 +29,9 @@
     def can_write_eof(self):
         return False
 
+    def get_extra_info(self, name):
+        return None  # it has no socket
+
 
 class HttpCalls:
     """A server with the given handlers, or else with `/later`, to whose requests the test responds.
--- a/tests/node/test_answer_reports.py
+++ b/tests/node/test_answer_reports.py
@@ -31,7 +31,7 @@
         self.reports = AnswerReports(context, orders)
         self.calls = ControlCalls(orders, self.reports, {ZONE: "north"}, self.counts)
 
-    def submit(self, kind: str, body: object, on_done: object, identity: int = 0) -> None:
+    def submit(self, kind: str, body: object, on_done: object, identity: int = 0, caller: object = None) -> None:
         self.submitted.append((kind, body, identity))
         outcome = self.outcomes.pop(0) if self.outcomes else DONE
         on_done(outcome, state_of_revision(5) if outcome == DONE else None)
--- a/tests/node/test_configuration_answers.py
+++ b/tests/node/test_configuration_answers.py
@@ -36,7 +36,7 @@
     """The calls of a node whose core gives these verdicts, and the list of submitted orders."""
     orders, answers = [], list(verdicts)
 
-    def submit(kind: str, body: object, on_done: object, identity: int = 0) -> None:
+    def submit(kind: str, body: object, on_done: object, identity: int = 0, caller: object = None) -> None:
         orders.append((kind, body))
         on_done(*answers.pop(0))
 
--- /dev/null
+++ b/tests/node/test_given_up_orders.py
@@ -0,0 +1,219 @@
+"""An order that its caller has given up is not carried out, however late it arrives and at whichever node.
+
+Guards against an order on a zone that was repeated elsewhere, read by its first node seconds later, and carried out as
+a new one: it opened a zone that another operator had evacuated meanwhile, or left one evacuated for ever. Whole nodes
+run on a fake clock, and callers have the connections that a kernel would have.
+"""
+
+import struct
+
+import pytest
+from node_fixtures import CALLER, LEADER, NodeHarness
+from test_second_operator import APPLIED, MS, SEC, Connection, System, UnansweredError, stays_evacuated
+
+from rampfront.consensus.events import OrderKind, Outcome
+from rampfront.membership.leadership import LeaderAnswer
+from rampfront.membership.messages import Heartbeat, encode_heartbeat
+from rampfront.membership.versions import NO_VERSIONS
+from rampfront.node.order_messages import LATE, OrderDeadline, OrderRequest
+from rampfront.node.order_submitter import ANSWER_TIMEOUT_NS
+
+PATIENCE = SEC  # after which a caller without an answer turns to another node
+FROZEN = 4800 * MS
+ESTABLISHED, CLOSE_WAIT = 1, 8
+CALM_NODE, FOLLOWER, WITHOUT_DISK = 1, 2, 4
+
+
+class ImpatientCaller(Connection):
+    """A caller who turns away after a second without an answer, and closes the connection or leaves it open."""
+
+    def __init__(self, system: System, node: int, name: str, closes: bool) -> None:
+        self.arrives_at, self.has_ended = system.fleet.now + MS, False
+        request = f"POST /api/rpc?call={name}&of=a1 HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n".encode()
+        super().__init__(system, system.fleet.machines[node], request, None)
+        if closes:
+            system.fleet.at(system.fleet.now + PATIENCE, self.give_up)
+
+    def give_up(self) -> None:
+        """End the stream; the kernel of a node that stands still has the end of it, too."""
+        self.has_ended = True
+        self.system.call_later(0, self.machine, self.end)
+
+    def receive(self, data: bytes) -> None:
+        """Deliver bytes to a caller who has turned away: to nobody, or to a socket that nobody reads."""
+        if self.has_ended:
+            self.reset()
+
+    def get_extra_info(self, name: str) -> object:
+        """Return the socket."""
+        return self if name == "socket" else super().get_extra_info(name)
+
+    def fileno(self) -> int:
+        """Return an invalid descriptor: all written bytes count as acknowledged."""
+        return -1
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return the kernel's `tcp_info`."""
+        age_ms = (self.system.fleet.now - self.arrives_at) // MS
+        return struct.pack("=B51xI", CLOSE_WAIT if self.has_ended else ESTABLISHED, age_ms)[:size]
+
+
+def node_number(system: System, which: object) -> int:
+    """The number of a node; "leader": of the one that leads."""
+    if which == "leader":
+        return next(number for number, machine in enumerate(system.fleet.core) if machine.core_member.is_leader)
+    return which
+
+
+def acknowledged(system: System, not_at: int, name: str) -> None:
+    """An operator's order, sent to one node after the other but one until it is acknowledged."""
+    nodes = [number for number in (CALM_NODE, 0, 3) if number != not_at]
+    for attempt in range(20):
+        try:
+            system.answered(nodes[attempt % len(nodes)], name)
+        except UnansweredError:
+            system.wait(200 * MS)
+        else:
+            return
+    raise UnansweredError(name)
+
+
+def freeze_with_order(system: System, node: int, name: str, closes: bool) -> int:
+    """Freeze a node and send it an order, which its caller repeats elsewhere. Returns until when the node is frozen."""
+    machine = system.fleet.machines[node]
+    system.fleet.freeze(machine)
+    ImpatientCaller(system, node, name, closes)
+    thaws_at = system.fleet.now + FROZEN
+    system.fleet.at(thaws_at, system.fleet.thaw, machine, machine.life)
+    system.wait(PATIENCE + 200 * MS)
+    acknowledged(system, node, name)
+    system.wait(SEC)
+    return thaws_at
+
+
+@pytest.fixture
+def system() -> System:
+    system = System()
+    system.fleet.rule_checker.on_fault_began = system.fleet.rule_checker.on_fault_ended = lambda *_: None
+    return system
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["closes", "leaves it open"])
+@pytest.mark.parametrize("which", [WITHOUT_DISK, FOLLOWER, "leader"])
+def test_a_given_up_return_opens_no_zone_that_was_evacuated_meanwhile(
+    system: System, which: object, closes: bool
+) -> None:
+    node = node_number(system, which)
+    acknowledged(system, node, "empty.start")
+    system.wait(8 * SEC)
+    thaws_at = freeze_with_order(system, node, "empty.finish", closes)
+    acknowledged(system, node, "empty.start")
+    system.wait(thaws_at + SEC - system.fleet.now)
+    assert stays_evacuated(system, 20 * SEC) is None
+    acknowledged(system, node, "empty.finish")
+    system.wait(APPLIED)
+    assert not any(system.evacuated_at())
+
+
+@pytest.mark.parametrize("closes", [True, False], ids=["closes", "leaves it open"])
+@pytest.mark.parametrize("which", [WITHOUT_DISK, FOLLOWER, "leader"])
+@pytest.mark.parametrize("returned", ["before", "behind"])
+def test_a_given_up_evacuation_leaves_no_zone_evacuated_for_ever(
+    system: System, which: object, closes: bool, returned: str
+) -> None:
+    """The operator takes the zone back before or after the node reads the order that was given up."""
+    node = node_number(system, which)
+    thaws_at = freeze_with_order(system, node, "empty.start", closes)
+    if returned == "before":
+        acknowledged(system, node, "empty.finish")
+    system.wait(thaws_at + SEC - system.fleet.now)
+    if returned == "behind":
+        system.wait(8 * SEC)
+        acknowledged(system, node, "empty.finish")
+    system.wait(10 * SEC)
+    assert not any(system.evacuated_at())
+
+
+class WaitingCaller:
+    """A caller as the order's submitter sees it."""
+
+    def __init__(self, age: int = 0, waits: bool = True) -> None:
+        self.age, self.waits = age, waits
+
+    def is_awaited(self) -> bool:
+        return self.waits
+
+    def age_ns(self) -> int:
+        return self.age
+
+
+def submit(node: NodeHarness, caller: WaitingCaller) -> None:
+    node.orders.submit(OrderKind.RESTORE, "a1", lambda *ended: node.completed.append(ended), 7, caller)
+
+
+def answer_heartbeat(node: NodeHarness, delay: int) -> int:
+    """Let the leader answer a heartbeat of the node `delay` ns after it was sent. Returns when it was sent."""
+    sent_at = node.process.context.clock()
+    node.loop.wait(delay // MS)
+    received_at = node.process.context.clock()
+    node.process.disseminator.leadership.last_answer = LeaderAnswer(LEADER, sent_at, received_at)
+    return sent_at
+
+
+@pytest.mark.parametrize("caller", [WaitingCaller(ANSWER_TIMEOUT_NS), WaitingCaller(waits=False)])
+def test_an_order_whose_caller_has_given_up_is_not_sent(caller: WaitingCaller) -> None:
+    """Its bytes lay unread for longer than callers wait, or its connection has ended."""
+    node = NodeHarness()
+    answer_heartbeat(node, 0)
+    submit(node, caller)
+    assert not node.wire.take("order") and not node.orders.open and len(node.completed) == 1
+    assert node.counts["orders_given_up"] == 1
+
+
+def test_an_order_is_sent_only_until_its_caller_gives_up() -> None:
+    node = NodeHarness()
+    answer_heartbeat(node, 0)
+    caller = WaitingCaller()
+    submit(node, caller)
+    caller.waits = False
+    node.loop.wait(350)
+    assert len(node.wire.take("order")) == 1 and node.completed == [(None, None)]
+
+
+def test_the_deadline_of_an_order_counts_from_a_heartbeat_that_the_leader_has_answered() -> None:
+    node = NodeHarness()
+    submit(node, WaitingCaller())
+    assert not node.wire.take("order")  # nothing is known of the leader's clock yet
+    sent_at = answer_heartbeat(node, 40 * MS)
+    node.loop.wait(200)
+    ((_, frame),) = node.wire.take("order")
+    assert OrderRequest.decode(frame).deadline == OrderDeadline(sent_at, ANSWER_TIMEOUT_NS - 40 * MS)
+
+
+@pytest.mark.parametrize("late, is_late", [(0, False), (1, True), (500 * MS, True)])
+def test_the_leader_carries_out_no_order_behind_its_deadline(late: int, is_late: bool) -> None:
+    """A request was delayed on its way; an order of a node whose heartbeat is not known counts as late as well."""
+    leader = NodeHarness(leads=True)
+    leader.core.quorum_confirmed_at = leader.process.context.clock()
+    leader.process.tick()
+    heartbeat = Heartbeat(NO_VERSIONS, 77, 3, "n7", "a1", "", True)
+    leader.receive(CALLER, encode_heartbeat(heartbeat))
+    leader.loop.wait(500)
+    deadline = OrderDeadline(77, 500 * MS - late)
+    for number, sent_at in ((1, 77), (2, 78)):
+        request = OrderRequest(5, number, OrderKind.RESTORE, "a1", 7, deadline._replace(heartbeat_sent_at=sent_at))
+        leader.receive(CALLER, request.encode())
+    outcomes = [(number, outcome) for _, _, number, outcome in leader.sent_replies()]
+    assert outcomes == [(1, LATE), (2, LATE)][not is_late :]
+    assert len(leader.core.orders) == (not is_late)
+
+
+def test_a_late_order_is_sent_again_while_its_caller_waits() -> None:
+    node = NodeHarness()
+    answer_heartbeat(node, 0)
+    submit(node, WaitingCaller())
+    node.receive_reply(LEADER, 1, LATE)
+    node.loop.wait(250)
+    assert len(node.wire.take("order")) == 2 and not node.completed
+    node.receive_reply(LEADER, 1, Outcome.DONE)
+    assert node.completed[0][0] == Outcome.DONE
--- a/tests/node/test_order_messages.py
+++ b/tests/node/test_order_messages.py
@@ -5,7 +5,13 @@
 from node_fixtures import CALLER, LEADER, NodeHarness, committed_state
 
 from rampfront.consensus.events import OrderKind, Outcome
-from rampfront.node.order_messages import INCARNATION_BITS, MalformedMessageError, OrderReply, OrderRequest
+from rampfront.node.order_messages import (
+    INCARNATION_BITS,
+    MalformedMessageError,
+    OrderDeadline,
+    OrderReply,
+    OrderRequest,
+)
 
 ORDER = {"k": "order", "l": 5, "r": 1, "o": "empty", "b": "a1"}
 REPLY = {"k": "said", "l": 5, "r": 1, "v": "away"}
@@ -97,3 +103,11 @@
     assert OrderRequest.decode(frame).identity == 7
     with pytest.raises(MalformedMessageError):
         OrderRequest.decode(frame | {"i": odd})
+
+
+@pytest.mark.parametrize("odd", [None, 5, [], [1], [1, 2, 3], [-1, 2], [1, True], ["1", 2], [1, 1 << 62]])
+def test_an_order_whose_deadline_is_not_valid_is_refused(odd):
+    frame = OrderRequest(1, 2, OrderKind.EVACUATE, "hall", 7, OrderDeadline(3, 4)).encode()
+    assert OrderRequest.decode(cbor2.loads(cbor2.dumps(frame))).deadline == OrderDeadline(3, 4)
+    with pytest.raises(MalformedMessageError):
+        OrderRequest.decode(frame | {"d": odd})
--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -58,6 +58,9 @@
     def is_leadership_expired(self, now):
         return False
 
+    def remember_nodes(self, ips):
+        pass
+
     def take(self, now, event):
         if type(event) is events.Order:
             self.orders.append(event)
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -249,6 +249,14 @@
         self.query, self.body, self.path = dict(ask.query), ask.body.encode(), ask.path
         self.idempotency_key = b""
 
+    def is_awaited(self) -> bool:
+        """Whether the caller still waits."""
+        return True
+
+    def age_ns(self) -> int:
+        """The time since the call arrived."""
+        return 0
+
     def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object, **__: object) -> bool:
         """The answer."""
         self.answered(self.ask, status, body, headers)
