An order on a zone that may be a late copy is carried out only if it is given once more

A copy of an `empty.finish` that is late on the way to a node, not in it, looks like a new order: it opens a zone that another operator has evacuated meanwhile. The node cannot know how long the bytes were on their way, and the end of the caller's stream may come behind them.

A caller who waits repeats it; one who has gone does not. So neither is a late copy carried out, nor a zone left evacuated for an operator who was told otherwise. The answer says why (`not carried out: may be a late copy ...`).

--- a/rampfront/consensus/events.py
+++ b/rampfront/consensus/events.py
@@ -29,6 +29,7 @@
     DONE = "done"  # committed (or read)
     NOT_LEADER = "away"  # not accepted, because this member is not the leader
     REJECTED = "refused"  # not accepted; it will never be committed
+    NEEDS_REPEAT = "again"  # not accepted, as it may be a late copy of an earlier order; accepted if given once more
     UNKNOWN = "doubt"  # may already be committed, or may be committed later
     CONFLICT = "conflict"  # other content was confirmed under this configuration number; it will never be committed
 
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -26,6 +26,7 @@
 from .events import Order, OrderKind, Outcome
 from .heartbeat_rounds import HeartbeatRounds
 from .identifiers import SEC, MemberKey, TimeNs
+from .late_orders import LateOrderDetector
 from .leader_discovery import LeaderDiscovery
 from .leadership_transfer import LeadershipTransfer, most_up_to_date
 from .membership_change import MembershipChange, MembershipView, Step
@@ -33,7 +34,7 @@
 from .order_application import OrderApplication, PendingOrder, pending_order
 from .order_queue import OrderQueue
 from .persistent_state import PersistentState
-from .repeat_window import RepeatWindow
+from .repeat_window import RepeatWindow, retry_window
 from .replication import Replication
 from .state import State, StateChanges
 
@@ -65,9 +66,10 @@
         self.membership = MembershipChange(self._own, self._term, survive)
         self.replication = Replication(context, persistent, self.rounds, self.membership)
         self.strength_monitor = StrengthMonitor(self.membership, self.replication, survive)
-        repeat_window = RepeatWindow(context.now, context.settings.order_repeat_ns)
+        repeats_within = context.settings.order_repeat_ns
+        repeat_window = RepeatWindow(context.now, repeats_within)
         self._orders = OrderQueue(context, persistent)
-        self._application = OrderApplication(repeat_window)
+        self._application = OrderApplication(repeat_window, LateOrderDetector(retry_window(repeats_within)))
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
 
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -17,6 +17,7 @@
 from .evacuations import ZoneChange, evacuate, note_delivered, note_lost, reopen, restore
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
+from .late_orders import LateOrderDetector, ZoneOrder
 from .repeat_window import RepeatWindow
 from .state import MAX_BODY_BYTES, MAX_NAMES, MAX_NUMBER, MAX_ZONE_CHARS, State
 from .version_history import content_digest
@@ -141,9 +142,10 @@
 class OrderApplication:
     """Applies orders to states, on one leader."""
 
-    def __init__(self, repeat_window: RepeatWindow) -> None:
-        """`repeat_window`: times at which this leader accepted the last orders on each zone."""
+    def __init__(self, repeat_window: RepeatWindow, late_orders: LateOrderDetector) -> None:
+        """Both arguments hold the times at which this leader accepted the last orders on each zone."""
         self._repeat_window = repeat_window
+        self._late_orders = late_orders
 
     def outcome(self, state: State, order: PendingOrder) -> Outcome:
         """Returns the outcome of an order, given that this state or the state resulting from it is committed."""
@@ -191,6 +193,7 @@
             return
         if not isinstance(change, str):
             return
+        self._late_orders.note_accepted(ZoneOrder(order.kind, change, order.identity), now)
         if order.kind is OrderKind.RESTORE and after is not before:
             window.note_restoration(change, order.identity, now)
         if change not in after.evacuated_zones:
@@ -198,6 +201,13 @@
         elif order.kind is OrderKind.EVACUATE:
             window.note_evacuation(change, now)
 
+    def _must_be_repeated(self, state: State, order: PendingOrder, now: TimeNs) -> bool:
+        """Whether an order would change its zone, and may be a late copy of an earlier one."""
+        zone = order.change
+        if not isinstance(zone, str) or (zone in state.evacuated_zones) is (order.kind is OrderKind.EVACUATE):
+            return False
+        return self._late_orders.must_be_repeated(ZoneOrder(order.kind, zone, order.identity), now)
+
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
         state = entry
@@ -210,6 +220,10 @@
             zone = order.change
             if isinstance(zone, str) and kinds.setdefault(zone, order.kind) is not order.kind:
                 break
+            if self._must_be_repeated(state, order, now):
+                order.set_outcome(Outcome.NEEDS_REPEAT)
+                unchanged.append(order)
+                continue
             order.set_outcome(self.outcome(state, order))
             after = self.apply(state, order, now)
             self.note(order, state, after, now)
--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -17,13 +17,18 @@
 MAX_RESTORATIONS = 64  # zones whose last restoration is remembered
 
 
+def retry_window(repeats_within: DurationNs) -> DurationNs:
+    """Returns how long after an order a retry of it may reach the leader; callers retry for `repeats_within`."""
+    return repeats_within + IN_FLIGHT_NS
+
+
 class RepeatWindow:
     """The times at which one leader accepted the last orders on each evacuated zone."""
 
     def __init__(self, began_at: TimeNs, repeats_within: DurationNs) -> None:
         """`began_at`: when this leader was elected; `repeats_within`: how long callers retry an order."""
         self._began_at = began_at
-        self._window = repeats_within + IN_FLIGHT_NS
+        self._window = retry_window(repeats_within)
         # Keyed by zone; entries are removed when the zone reopens.
         self._evacuated_at: dict[str, TimeNs] = {}
         self._evacuation_delivered_at: dict[str, TimeNs] = {}  # delivery of the answer to the last evacuation order
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -36,6 +36,12 @@
 MAX_KEY_BYTES = 64  # of an idempotency key
 IDENTITY_BYTES = 6
 NO_ANSWER = error_response(503, "the core gave no answer in time", ((b"Retry-After", b"0.3"),))
+NOT_CARRIED_OUT = (GIVEN_UP, Outcome.NEEDS_REPEAT)  # outcomes after which an order never takes effect
+NEEDS_REPEAT = error_response(
+    503,
+    "not carried out: may be a late copy of an earlier order, as the zone was changed meanwhile; send it again",
+    ((b"Retry-After", b"0.3"),),
+)
 
 
 class ControlCalls:
@@ -145,8 +151,8 @@
                 answer = json_response(evacuation_view(zone, state))
                 request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
-                reply(request, NO_ANSWER)
-                if outcome != GIVEN_UP:  # the order may be in force, but its caller got no acknowledgement
+                reply(request, NEEDS_REPEAT if outcome == Outcome.NEEDS_REPEAT else NO_ANSWER)
+                if outcome not in NOT_CARRIED_OUT:  # the order may be in force, but its caller got no acknowledgement
                     on_delivery(Delivery.LOST)
 
         self._orders.submit(kind, zone, on_done, identity, caller=request)
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -39,7 +39,16 @@
 LATE = "late"  # not carried out: the deadline has passed, or the leader cannot tell whether it has
 GIVEN_UP = "given up"  # not sent: the caller no longer waits for the answer; at the submitting node only
 OUTCOMES = frozenset(
-    (Outcome.DONE, Outcome.NOT_LEADER, Outcome.REJECTED, Outcome.UNKNOWN, Outcome.CONFLICT, BUSY, LATE)
+    (
+        Outcome.DONE,
+        Outcome.NOT_LEADER,
+        Outcome.REJECTED,
+        Outcome.NEEDS_REPEAT,
+        Outcome.UNKNOWN,
+        Outcome.CONFLICT,
+        BUSY,
+        LATE,
+    )
 )
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they are based on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of an order with a configuration
--- a/rampfront/simulation/world.py
+++ b/rampfront/simulation/world.py
@@ -40,6 +40,7 @@
     Outcome.CONFLICT: Verdict.REFUSED,
     Outcome.NOT_LEADER: Verdict.NOT_TAKEN,
     Outcome.REJECTED: Verdict.NOT_TAKEN,
+    Outcome.NEEDS_REPEAT: Verdict.NOT_TAKEN,
     Outcome.UNKNOWN: Verdict.IN_DOUBT,
 }
 
