An order on a zone waits two round trips for the end of its caller's stream before it is sent to the leader

A partition between operator and node holds up the bytes of an order; the operator gives up, closes the connection and repeats the order elsewhere. When the partition heals, the bytes arrive fresh, on an established connection, and the end of the stream follows within a round trip. The node had sent the order to the leader by then; behind 7 s the leader takes it for a new one.

Change: the order is held back for two round trips as the kernel measures them (`tcpi_rtt`), 20 ms at least and 200 ms at most, and is not sent if the caller's stream has ended. It is answered within the same 0.8 s.

--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -125,6 +125,11 @@
         state = self._connection.tcp_state if self._connection is not None else None
         return state.data_age_ns if state is not None else 0
 
+    def round_trip_ns(self) -> int:
+        """The round-trip time to its sender; 0 if that is not known. Each call is a system call."""
+        state = self._connection.tcp_state if self._connection is not None else None
+        return state.round_trip_ns if state is not None else 0
+
     def respond(
         self,
         status: int,
--- a/rampfront/net/tcp_state.py
+++ b/rampfront/net/tcp_state.py
@@ -10,10 +10,11 @@
 from typing import NamedTuple
 
 _NS_PER_MS = 10**6
+_NS_PER_US = 10**3
 _ESTABLISHED = 1  # values of `tcpi_state`
 _MAX_STATE = 12
-# Of `struct tcp_info`: `tcpi_state`, and `tcpi_last_data_recv` in ms.
-_FIELDS = struct.Struct("=B51xI")
+# Of `struct tcp_info`: `tcpi_state`, `tcpi_last_data_recv` in ms, and `tcpi_rtt` in us.
+_FIELDS = struct.Struct("=B51xI12xI")
 
 
 class TcpState(NamedTuple):
@@ -22,10 +23,12 @@
     Attributes:
         is_established: whether both directions are open: the peer has neither ended its stream nor reset it.
         data_age_ns: the time since the last data arrived.
+        round_trip_ns: the smoothed round-trip time to the peer.
     """
 
     is_established: bool
     data_age_ns: int
+    round_trip_ns: int
 
 
 def read_tcp_state(transport: asyncio.Transport) -> TcpState | None:
@@ -39,7 +42,7 @@
         return None
     if len(info) < _FIELDS.size:
         return None
-    state, data_age_ms = _FIELDS.unpack(info)
+    state, data_age_ms, round_trip_us = _FIELDS.unpack(info)
     if not _ESTABLISHED <= state <= _MAX_STATE:
         return None
-    return TcpState(state == _ESTABLISHED, data_age_ms * _NS_PER_MS)
+    return TcpState(state == _ESTABLISHED, data_age_ms * _NS_PER_MS, round_trip_us * _NS_PER_US)
--- a/rampfront/node/open_order.py
+++ b/rampfront/node/open_order.py
@@ -23,6 +23,10 @@
         """The time since the call arrived at this machine."""
         raise NotImplementedError
 
+    def round_trip_ns(self) -> int:
+        """The round-trip time to the caller; 0 if that is not known."""
+        raise NotImplementedError
+
 
 class OpenOrder:
     """An order in flight, as the submitting node tracks it; decides which replies complete it."""
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -8,7 +8,8 @@
 The caller of an order on a zone is not identified, and repeats the order at another node after a second without an
 answer. If the order were carried out after that, it could undo one that was given and acknowledged meanwhile. Therefore
 it is sent only while its caller waits for the answer, the time in which it lay unread at this machine counts, and the
-leader gets a deadline (`order_messages.OrderDeadline`).
+leader gets a deadline (`order_messages.OrderDeadline`). It is held back first: if the network delivers the bytes of a
+caller who has gone, the end of the stream follows them within a round trip.
 """
 
 from __future__ import annotations
@@ -33,6 +34,8 @@
 ANSWER_TIMEOUT_NS = 800 * MS  # leaves a fifth of a caller's second for the network
 RESEND_AFTER_NS = 300 * MS
 RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # after a reply that the node does not lead, or was asked too late
+MIN_HOLD_NS, MAX_HOLD_NS = 20 * MS, 200 * MS  # of an order whose caller must wait
+HOLD_ROUND_TRIPS = 2  # twice the mean, as single round trips take longer
 MAX_OPEN = 256  # orders of this node without an answer
 NUMBER_BITS = 20  # low bits of an order's identity; the higher bits are the incarnation
 MAX_IDENTITIES = (1 << NUMBER_BITS) - 1
@@ -95,7 +98,12 @@
         counts["orders"] += 1
         # A timer instead of the next tick, by which the caller may have given up.
         self._context.scheduler.call_at(order.due, self._expire, order)
-        self._send(order, now)
+        if caller is None:
+            self._send(order, now)
+        else:
+            order.resend_at = now + ANSWER_TIMEOUT_NS  # no tick sends it before
+            hold = HOLD_ROUND_TRIPS * caller.round_trip_ns()
+            self._context.scheduler.call_after(min(max(hold, MIN_HOLD_NS), MAX_HOLD_NS), self._send_if_open, order)
 
     def tick(self, now: int) -> None:
         """Resend orders without a reply; to be called about ten times a second."""
@@ -125,6 +133,11 @@
         else:
             self._wire.send(leader, order.request.encode())
 
+    def _send_if_open(self, order: OpenOrder) -> None:
+        """Send an order that was held back."""
+        if self.open.get(order.request.number) is order:
+            self._send(order, self._context.clock())
+
     def _leader(self) -> str | None:
         """Return the leader's address. It is this node's own only if its core member says that it leads."""
         if self._core.is_leader:
--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -401,6 +401,10 @@
         """The time since the call arrived."""
         return 0
 
+    def round_trip_ns(self):
+        """The round-trip time to the caller."""
+        return 0
+
 
 class Fleet(EventScheduler):
     """All machines, their links, the servers and the platform, on one fake clock.
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -257,6 +257,10 @@
         """The time since the call arrived."""
         return 0
 
+    def round_trip_ns(self) -> int:
+        """The round-trip time to the caller."""
+        return 0
+
     def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object, **__: object) -> bool:
         """The answer."""
         self.answered(self.ask, status, body, headers)
