A soak of orders on zones: operators give up attempts that arrive late, at frozen, killed and restarted nodes

Cause: the soak had one order of an evacuation a run and patient callers, so it could not meet an order that was given up. Change: `lab system soak-orders`. Operators take turns at a zone, give up after a second and repeat elsewhere; what they leave behind arrives late, at a frozen node or through a network that held it up. Judged by reads that a majority confirms: no held zone is open, no restored one stays evacuated.

--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -10,13 +10,18 @@
 from .common import EXIT_FAILED, EXIT_INVALID, EXIT_NOT_REPORTABLE, OutFolder, PlanFile, draw_latency, fail, run_or_exit
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..lab.system.order_soak import OrderSoakResult
     from ..lab.system.plan import Experiment
+    from ..lab.system.soak import SoakResult
 
 app = typer.Typer(
     help="The whole system: real proxies, everything else emulated, faults by schedule, rules checked.",
     no_args_is_help=True,
 )
 _NS_PER_S = 1e9
+_ORDER_SOAK_S = 20.0  # in which operators begin to evacuate zones
 
 
 def load_system_experiment(path: Path) -> Experiment:
@@ -113,10 +118,34 @@
     from ..lab.system.soak import play_seeds
     from ..lab.system.soak_plan import SoakSize
 
-    failed = 0
-    for result in play_seeds(range(first, first + seeds), SoakSize(nodes=nodes), out, jobs):
+    _report_soak(play_seeds(range(first, first + seeds), SoakSize(nodes=nodes), out, jobs))
+
+
+@app.command("soak-orders")
+def system_soak_orders(
+    out: OutFolder = Path("found/soak-orders"),
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 50,
+    first: Annotated[int, typer.Option(min=0, help="The first seed.")] = 1,
+    nodes: Annotated[int, typer.Option(min=0, help="Nodes of each run; 0: drawn, from 3 to 6.")] = 0,
+    jobs: Annotated[int, typer.Option(min=1, help="Runs at the same time.")] = 2,
+) -> None:
+    """Play operators who evacuate zones and give up orders at real nodes under signals and restarts; judge each run.
+
+    Exit 1 if a run broke a rule or came to no verdict; the folder of such a run, with the logs, is kept.
+    """
+    from ..lab.system.order_soak import play_seeds
+    from ..lab.system.soak_plan import SoakSize
+
+    _report_soak(play_seeds(range(first, first + seeds), SoakSize(_ORDER_SOAK_S, nodes), out, jobs))
+
+
+def _report_soak(results: Iterable[SoakResult | OrderSoakResult]) -> None:
+    """Prints each result once it is known. Exits with status 1 if a run failed."""
+    runs = failed = 0
+    for result in results:
         typer.echo(str(result))
+        runs += 1
         failed += result.failed
-    typer.echo(f"{seeds} runs, {failed} failed")
+    typer.echo(f"{runs} runs, {failed} failed")
     if failed:
         raise typer.Exit(EXIT_FAILED)
--- a/rampfront/lab/system/soak_plan.py
+++ b/rampfront/lab/system/soak_plan.py
@@ -39,8 +39,7 @@
         "duration_s": duration_s,
         "warmup_s": min(1.0, duration_s / 4),
         "most_lag_ms": 10_000.0,
-        "zones": _ZONES,
-        "pilots": _draw_nodes(rng, size.nodes or rng.randint(3, 6)),
+        **place_nodes(rng, size),
         "services": [_draw_service(rng, name) for name in ("reads", "orders", "files")],
         "routes": _draw_routes(rng),
         "tenants": [{"name": "acme"}, {"name": "hot", "per_s": 40, "burst": 40}],
@@ -58,6 +57,11 @@
     return f"127.{20 + seed // _SEEDS_PER_OCTET % _SEEDS_PER_OCTET}.{1 + seed % _SEEDS_PER_OCTET}.11"
 
 
+def place_nodes(rng: Random, size: SoakSize) -> dict[str, Any]:
+    """Returns the zones of a plan, and the nodes in them."""
+    return {"zones": _ZONES, "pilots": _draw_nodes(rng, size.nodes or rng.randint(3, 6))}
+
+
 def draw_shares(rng: Random) -> dict[Misbehaviour, float]:
     """Returns the share of the answers for each misbehaviour; each is frequent in some runs and absent in others."""
     return {kind: rng.choice((0.0, 0.03, 0.2)) for kind in Misbehaviour if kind is not Misbehaviour.TRUNCATED} | {
