Simulation: an order reaches its node also if its operator has turned to another one

Cause: why the model missed the incident: it dropped an attempt that was given up before its node came to it, so nothing was ever late. `node/order_submitter.py` gets it now, with a caller who no longer waits.

--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -387,15 +387,13 @@
 class ApiCall:
     """A call to a node's directory or control API."""
 
-    __slots__ = "query", "body", "respond", "path", "idempotency_key"
+    __slots__ = "query", "body", "respond", "path", "idempotency_key", "is_awaited"
 
-    def __init__(self, query, body=b"", respond=None):
-        """`respond`: called with an answer that is not given at once."""
+    def __init__(self, query, body=b"", respond=None, is_awaited=lambda: True):
+        """`respond`: called with an answer that is not given at once; `is_awaited`: returns whether the caller still
+        waits for it."""
         self.query, self.body, self.respond, self.path, self.idempotency_key = query, body, respond, "", b""
-
-    def is_awaited(self):
-        """Whether the caller still waits for the answer."""
-        return True
+        self.is_awaited = is_awaited
 
     def age_ns(self):
         """The time since the call arrived."""
--- a/rampfront/simulation/operators.py
+++ b/rampfront/simulation/operators.py
@@ -192,13 +192,11 @@
         return Operation(kind, machine.name, self.fleet.now, zone=call.body or "")
 
     def deliver_order(self, call: Call, machine: Machine, tries: int, operation: int) -> None:
-        """An order is at a node: hands it to the node's handler."""
-        if call.attempt != tries or call.verdict is not None:
-            return  # the operator has turned to another node
+        """An order is at a node: hands it to the node's handler, also if the operator has turned to another node."""
         control, fleet = machine.control, self.fleet
         respond = partial(self.node_answered, Attempt(call, machine, tries, operation))
         body = zlib.decompress(call.body[1]) if call.kind == "config" else b""
-        api_call = ApiCall({"of": call.body}, body, respond)
+        api_call = ApiCall({"of": call.body}, body, respond, lambda: call.attempt == tries and call.verdict is None)
         handler = {
             "config": control.replace_configuration,
             "read": control.read_configuration,
