--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -115,10 +115,11 @@
 
     Exit 1 if a run broke a rule or came to no verdict; the folder of such a run, with the logs, is kept.
     """
-    from ..lab.system.soak import play_seeds
+    from ..lab.system.seeded_runs import play_seeds
+    from ..lab.system.soak import play
     from ..lab.system.soak_plan import SoakSize
 
-    _report_soak(play_seeds(range(first, first + seeds), SoakSize(nodes=nodes), out, jobs))
+    _report_soak(play_seeds(play, range(first, first + seeds), SoakSize(nodes=nodes), out, jobs))
 
 
 @app.command("soak-orders")
@@ -133,10 +134,11 @@
 
     Exit 1 if a run broke a rule or came to no verdict; the folder of such a run, with the logs, is kept.
     """
-    from ..lab.system.order_soak import play_seeds
+    from ..lab.system.order_soak import play
+    from ..lab.system.seeded_runs import play_seeds
     from ..lab.system.soak_plan import SoakSize
 
-    _report_soak(play_seeds(range(first, first + seeds), SoakSize(_ORDER_SOAK_S, nodes), out, jobs))
+    _report_soak(play_seeds(play, range(first, first + seeds), SoakSize(_ORDER_SOAK_S, nodes), out, jobs))
 
 
 def _report_soak(results: Iterable[SoakResult | OrderSoakResult]) -> None:
--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -14,8 +14,6 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Iterable, Iterator
-from concurrent.futures import ProcessPoolExecutor, as_completed
 from contextlib import suppress
 from dataclasses import asdict, dataclass, field
 from enum import Enum
@@ -334,11 +332,3 @@
     if not result.failed:
         shutil.rmtree(folder)
     return result
-
-
-def play_seeds(seeds: Iterable[int], size: SoakSize, out: Path, jobs: int) -> Iterator[OrderSoakResult]:
-    """Plays the runs of the seeds, `jobs` at the same time; yields each result once it is known."""
-    with ProcessPoolExecutor(jobs) as pool:
-        futures = [pool.submit(play, seed, size, out) for seed in seeds]
-        for future in as_completed(futures):
-            yield future.result()
--- a/rampfront/lab/system/soak.py
+++ b/rampfront/lab/system/soak.py
@@ -1,8 +1,8 @@
 """The soak: runs of real nodes under series of signals, restarts and misbehaving servers, each drawn from a seed.
 
 A run is judged by what clients were answered and what servers executed (`judge.py`), by `Try-Id`, so it finds a broken
-promise without a hypothesis about its cause. `play_seeds` plays many runs, several at the same time; the folder of a
-run that broke a rule is kept, with the logs of its nodes.
+promise without a hypothesis about its cause. `seeded_runs.py` plays many runs; the folder of a run that broke a rule is
+kept, with the logs of its nodes.
 """
 
 from __future__ import annotations
@@ -13,8 +13,7 @@
 import shutil
 import signal
 from collections import Counter
-from collections.abc import Iterable, Iterator
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
@@ -194,11 +193,3 @@
             if refusal and refusal["try_id"] in try_ids:
                 found[refusal["try_id"]] = f"{path.stem}: {refusal[0]}"
     return sorted(found.values())
-
-
-def play_seeds(seeds: Iterable[int], size: SoakSize, out: Path, jobs: int) -> Iterator[SoakResult]:
-    """Plays the runs of the seeds, `jobs` at the same time; yields each result once it is known."""
-    with ProcessPoolExecutor(jobs) as pool:
-        futures = [pool.submit(play, seed, size, out) for seed in seeds]
-        for future in as_completed(futures):
-            yield future.result()
