The leader remembers the last four heartbeats of a node for the deadlines of its orders

Cause: with two, an order was late for the leader if two answers to heartbeats were lost in turn, and waited for the next one. Change: the arrivals of three earlier heartbeats are kept; late repeats of an order in flight are not counted as late; what a leader defers is bounded like the rest.

--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -14,13 +14,14 @@
 leader. No I/O, no clock: times are ns of the leader's monotonic clock.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from .evacuation_claims import is_explicit
 from .events import OrderKind
 from .identifiers import DurationNs, TimeNs
 
 MAX_ZONES = 64
+Value = TypeVar("Value")
 OPPOSITE = {OrderKind.EVACUATE: OrderKind.RESTORE, OrderKind.RESTORE: OrderKind.EVACUATE}
 
 
@@ -56,7 +57,7 @@
         key = order.zone, order.kind
         deferral = self._deferred.get(key)
         if deferral is None or now - deferral.at > self._window:
-            self._deferred[key] = Deferral(order.identity, now)
+            _set_newest(self._deferred, key, Deferral(order.identity, now))
             return True
         return deferral.identity == order.identity
 
@@ -78,9 +79,9 @@
             _set_newest(self._unnamed_at, key, now)
 
 
-def _set_newest(times: dict[tuple[str, OrderKind], TimeNs], key: tuple[str, OrderKind], now: TimeNs) -> None:
-    """Sets a time, and removes the oldest one if there are too many."""
-    times.pop(key, None)
-    if len(times) >= len(OPPOSITE) * MAX_ZONES:
-        del times[next(iter(times))]
-    times[key] = now
+def _set_newest(table: dict[tuple[str, OrderKind], Value], key: tuple[str, OrderKind], value: Value) -> None:
+    """Sets a row of a table, and removes the oldest one if there are too many."""
+    table.pop(key, None)
+    if len(table) >= len(OPPOSITE) * MAX_ZONES:
+        del table[next(iter(table))]
+    table[key] = value
--- a/rampfront/membership/peers.py
+++ b/rampfront/membership/peers.py
@@ -14,6 +14,7 @@
 SEC = 10**9
 
 MAX_PEERS = 4096
+MAX_EARLIER_ARRIVALS = 3  # of one node's heartbeats
 PEER_TIMEOUT_NS = 2400 * MS  # a node without a heartbeat for this long leaves the roster
 # How long after the first frame of a process a late frame of its predecessor may still arrive.
 PREVIOUS_INCARNATION_NS = 3 * SEC
@@ -39,7 +40,7 @@
         versions: the versions that it holds, as far as is known.
         received_at_ns: arrival time of the last heartbeat.
         sent_at_ns: when that heartbeat was sent, by the node's clock.
-        previous_arrival: the times of the heartbeat before, of which the node may have the answer already.
+        earlier_arrivals: the times of the heartbeats before, newest first: answers to the last ones may be lost.
         incarnation: of the process at this address; None: no heartbeat received yet.
         previous_incarnation: of the process before.
         incarnation_since_ns: when `incarnation` was first received.
@@ -48,8 +49,8 @@
     __slots__ = (
         "entry",
         "incarnation",
+        "earlier_arrivals",
         "incarnation_since_ns",
-        "previous_arrival",
         "previous_incarnation",
         "received_at_ns",
         "sent_at_ns",
@@ -62,7 +63,7 @@
         self.versions = versions
         self.received_at_ns = received_at_ns
         self.sent_at_ns = 0
-        self.previous_arrival = Arrival(0, 0)
+        self.earlier_arrivals: tuple[Arrival, ...] = ()
         self.incarnation: int | None = None
         self.previous_incarnation: int | None = None
         self.incarnation_since_ns = 0
@@ -72,18 +73,19 @@
         if self._accept(heartbeat.incarnation or 0, heartbeat.sent_at_ns, now):
             self.entry = _updated_entry(self.entry, heartbeat)
             self.versions = heartbeat.versions
-            self.previous_arrival = Arrival(self.sent_at_ns, self.received_at_ns)
+            earlier = self.earlier_arrivals[: MAX_EARLIER_ARRIVALS - 1]
+            self.earlier_arrivals = (Arrival(self.sent_at_ns, self.received_at_ns), *earlier)
             self.received_at_ns = now
             self.sent_at_ns = heartbeat.sent_at_ns
 
     def arrival_of(self, sent_at_ns: int) -> int | None:
-        """When the heartbeat that was sent at that time arrived; None if it is neither of the last two."""
+        """When the heartbeat that was sent at that time arrived; None if it is not among the last ones."""
         if not sent_at_ns:
             return None
         if sent_at_ns == self.sent_at_ns:
             return self.received_at_ns
-        previous = self.previous_arrival
-        return previous.received_at_ns if sent_at_ns == previous.sent_at_ns else None
+        earlier = self.earlier_arrivals
+        return next((arrival.received_at_ns for arrival in earlier if arrival.sent_at_ns == sent_at_ns), None)
 
     def _accept(self, incarnation: int, sent_at_ns: int, now: int) -> bool:
         """Updates the incarnation; returns whether the heartbeat is newer than the last one.
--- a/rampfront/node/order_executor.py
+++ b/rampfront/node/order_executor.py
@@ -49,12 +49,16 @@
         elif not self._core.is_leader:
             self._reply(key, Outcome.NOT_LEADER)
         elif request.deadline is not None and self._is_late(ip, request.deadline):
-            self._context.counts["orders_late"] += 1
-            if not self.table.is_in_flight(key):
-                self._reply(key, LATE)
+            self._reject_late(key)
         else:
             self._admit(key, request)
 
+    def _reject_late(self, key: OrderKey) -> None:
+        """Tell the submitter that an order is not carried out, unless it is in flight: then this is a late repeat."""
+        if not self.table.is_in_flight(key):
+            self._context.counts["orders_late"] += 1
+            self._reply(key, LATE)
+
     def _is_late(self, ip: str, deadline: OrderDeadline) -> bool:
         """Whether the deadline of an order of the node at `ip` has passed, or its heartbeat is not known here."""
         peer = self._peers.by_ip.get(ip)
--- a/tests/node/test_given_up_orders.py
+++ b/tests/node/test_given_up_orders.py
@@ -14,6 +14,8 @@
 from rampfront.consensus.events import OrderKind, Outcome
 from rampfront.membership.leadership import LeaderAnswer
 from rampfront.membership.messages import Heartbeat, encode_heartbeat
+from rampfront.membership.peers import MAX_EARLIER_ARRIVALS, Peer
+from rampfront.membership.roster import RosterEntry
 from rampfront.membership.versions import NO_VERSIONS
 from rampfront.node.order_messages import LATE, OrderDeadline, OrderRequest
 from rampfront.node.order_submitter import ANSWER_TIMEOUT_NS
@@ -242,6 +244,16 @@
     assert len(leader.core.orders) == (not is_late)
 
 
+def test_the_leader_knows_the_heartbeats_whose_answers_may_be_lost() -> None:
+    peer = Peer(RosterEntry("n7", CALLER, "a1", "", True), NO_VERSIONS, 0)
+    for number in range(1, 9):
+        peer.record(Heartbeat(NO_VERSIONS, number, 3), 100 + number)
+    known = [peer.arrival_of(number) for number in range(9)]
+    assert known == [None] * (8 - MAX_EARLIER_ARRIVALS) + [
+        100 + number for number in range(8 - MAX_EARLIER_ARRIVALS, 9)
+    ]
+
+
 def test_a_late_order_is_sent_again_while_its_caller_waits() -> None:
     node = NodeHarness()
     answer_heartbeat(node, 0)
