Results of the two soaks have one base, which decides what failed and keeps its folder

Cause: the soak of orders repeated the fields and the end of a run of the other one. Change: SeededResult in lab/system/seeded_runs.py. Fields of report.json are as before, in another order.

--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -12,9 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..lab.system.order_soak import OrderSoakResult
     from ..lab.system.plan import Experiment
-    from ..lab.system.soak import SoakResult
+    from ..lab.system.seeded_runs import SeededResult
 
 app = typer.Typer(
     help="The whole system: real proxies, everything else emulated, faults by schedule, rules checked.",
@@ -141,7 +140,7 @@
     _report_soak(play_seeds(play, range(first, first + seeds), SoakSize(_ORDER_SOAK_S, nodes), out, jobs))
 
 
-def _report_soak(results: Iterable[SoakResult | OrderSoakResult]) -> None:
+def _report_soak(results: Iterable[SeededResult]) -> None:
     """Prints each result once it is known. Exits with status 1 if a run failed."""
     runs = failed = 0
     for result in results:
--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -10,12 +10,11 @@
 
 import asyncio
 import json
-import shutil
 import signal
 import time
 from collections import Counter
 from contextlib import suppress
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
 from random import Random
@@ -27,6 +26,7 @@
 from . import plan as plans
 from . import run as runs
 from .disturbances import NodeDisturbance
+from .seeded_runs import SeededResult
 from .soak_plan import SoakSize, base_address, place_nodes
 
 OK = 200
@@ -179,22 +179,12 @@
 
 
 @dataclass(slots=True)
-class OrderSoakResult:
-    """What came of one run. `broken`: by zone, what was broken and how often."""
+class OrderSoakResult(SeededResult):
+    """What came of one run. `broken`: by zone, what was broken, each case."""
 
-    seed: int
-    nodes: int = 0
     evacuations: int = 0
     reads: int = 0
     calls: dict[str, int] = field(default_factory=dict)
-    disturbances: dict[str, int] = field(default_factory=dict)
-    broken: dict[str, list[str]] = field(default_factory=dict)
-    error: str = ""  # why the run has no verdict
-
-    @property
-    def failed(self) -> bool:
-        """Whether the run broke a rule or came to no verdict."""
-        return bool(self.broken or self.error)
 
     def __str__(self) -> str:
         """One line for a terminal."""
@@ -328,7 +318,5 @@
         runs.run_system(lambda loop, path: OrderSoakSystem(loop, plan, path), plan, folder, run_and_judge)
     except RunFailedError as error:
         result.error = str(error)
-    (folder / "report.json").write_text(json.dumps(asdict(result), indent=1))
-    if not result.failed:
-        shutil.rmtree(folder)
+    result.store(folder)
     return result
--- a/rampfront/lab/system/soak.py
+++ b/rampfront/lab/system/soak.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import re
-import shutil
 import signal
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,6 +25,7 @@
 from .judge import breaches, judge, summarize_findings
 from .misbehaving_server import Manners, MisbehavingServer
 from .plan import Experiment
+from .seeded_runs import SeededResult
 from .soak_plan import SoakSize, draw_plan, draw_shares
 
 _STICKY_SHARE = 0.7  # of the requests that stay with a front while a connection to it is open
@@ -40,25 +39,15 @@
 
 
 @dataclass(slots=True)
-class SoakResult:
+class SoakResult(SeededResult):
     """What came of one run. `broken`: each broken rule, with its number of cases and the first ones."""
 
-    seed: int
-    nodes: int = 0
     tries: int = 0
     executed: int = 0
     statuses: dict[str, int] = field(default_factory=dict)
-    disturbances: dict[str, int] = field(default_factory=dict)
     misbehaviour: dict[str, int] = field(default_factory=dict)
     counters: dict[str, int] = field(default_factory=dict)  # of the processes that ended in order
-    broken: dict[str, Any] = field(default_factory=dict)
     evidence: list[str] = field(default_factory=list)  # what the nodes logged of the requests concerned
-    error: str = ""  # why the run has no verdict
-
-    @property
-    def failed(self) -> bool:
-        """Whether the run broke a rule or came to no verdict."""
-        return bool(self.broken or self.error)
 
     def __str__(self) -> str:
         """One line for a terminal."""
@@ -152,9 +141,7 @@
         result.error = str(error)
     result.counters = dict(_node_counters(folder))
     result.evidence = _evidence(folder, result.broken)
-    (folder / "report.json").write_text(json.dumps(asdict(result), indent=1))
-    if not result.failed:
-        shutil.rmtree(folder)
+    result.store(folder)
     return result
 
 
