A reply that demands a repeat is a refusal to nodes of older versions

Cause: the older version rejects outcomes that it does not know. Change: the outcome is sent as `refused` with one key more, which older nodes ignore; they answer 503 at once.

--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -31,6 +31,7 @@
 OUTCOME = "v"
 STATE = "S"
 DEADLINE = "d"
+NEEDS_REPEAT = "n"
 
 REQUEST_FRAME = "order"
 REPLY_FRAME = "said"
@@ -161,13 +162,20 @@
     with_body: bool = True
 
     def encode(self) -> Message:
-        """Return the frame for the transport."""
+        """Return the frame for the transport.
+
+        The outcome NEEDS_REPEAT is encoded as REJECTED with an additional key: nodes of older versions do not know it,
+        and answer 503 to either, upon which the order is repeated.
+        """
+        needs_repeat = self.outcome == Outcome.NEEDS_REPEAT
         frame = {
             FRAME_KIND: REPLY_FRAME,
             INCARNATION: self.incarnation,
             NUMBER: self.number,
-            OUTCOME: str(self.outcome),
+            OUTCOME: str(Outcome.REJECTED if needs_repeat else self.outcome),
         }
+        if needs_repeat:
+            frame[NEEDS_REPEAT] = True
         if self.state is not None:
             frame[STATE] = self.state.encode(self.with_body)
         return frame
@@ -182,6 +190,8 @@
         outcome = frame.get(OUTCOME)
         if type(outcome) is not str or outcome not in OUTCOMES:
             raise MalformedMessageError("reply: unknown outcome")
+        if outcome == Outcome.REJECTED and frame.get(NEEDS_REPEAT) is True:
+            outcome = Outcome.NEEDS_REPEAT
         state = None
         if frame.get(STATE) is not None:
             state = decode_state(frame[STATE], bodies)
--- a/tests/node/test_order_messages.py
+++ b/tests/node/test_order_messages.py
@@ -111,3 +111,10 @@
     assert OrderRequest.decode(cbor2.loads(cbor2.dumps(frame))).deadline == OrderDeadline(3, 4)
     with pytest.raises(MalformedMessageError):
         OrderRequest.decode(frame | {"d": odd})
+
+
+def test_an_order_that_is_to_be_repeated_is_a_refused_one_to_nodes_of_older_versions():
+    reply = OrderReply(5, 1, Outcome.NEEDS_REPEAT)
+    frame = cbor2.loads(cbor2.dumps(reply.encode()))
+    assert OrderReply.decode(frame) == reply
+    assert frame["v"] == "refused" and OrderReply.decode({**frame, "n": 0}).outcome == Outcome.REJECTED
