A node whose port another process takes between bind and listen ends instead of serving nobody

Cause: the event loop binds with SO_REUSEADDR, so two processes can bind one port; the second one to listen fails. uvloop 0.23.0 closes the socket then, raises nothing and says that the server is serving (its sockets are [None]).

Evidence: a probe in the laboratory found no listening socket among the descriptors of the node that logged `serving`, and the port in the hands of the other one. A script with one socket that listens between bind and listen shows it with uvloop and not with asyncio.

Change: net/listening.py opens the listening sockets of both programs and raises OSError if one does not listen. This holds for any cause of a listen that fails, since it looks at what the loop has, not at why. A fake event loop of the tests gets an empty list of sockets.

--- a/rampfront/mqtt/front.py
+++ b/rampfront/mqtt/front.py
@@ -13,6 +13,7 @@
 
 from .. import terms as t
 from ..net.http_status import HttpStatusError
+from ..net.listening import open_server
 from ..net.transaction_request import TransactionRequest, parse_account
 from . import codec
 from .session import ACKNOWLEDGE, CHECK_REDELIVERY, EXECUTE, REJECT, Session, message_digest
@@ -214,10 +215,9 @@
         self.sessions = {}
 
     async def listen(self, host, port):
-        """Starts to accept connections."""
-        self.server = await self.loop.create_server(
-            lambda: MqttConnection(self), host, port, backlog=self.bounds.listen_backlog
-        )
+        """Starts to accept connections. Raises OSError if the address cannot be listened on."""
+        backlog = self.bounds.listen_backlog
+        self.server = await open_server(self.loop, lambda: MqttConnection(self), host, port, backlog)
 
     # ---- connections
 
--- a/rampfront/net/__init__.py
+++ b/rampfront/net/__init__.py
@@ -6,7 +6,7 @@
 
 Modules, in reading order:
 
-1. Foundations: `clock`, `timers`, `limits`, `event_log`, `latency_histogram`.
+1. Foundations: `clock`, `timers`, `limits`, `event_log`, `latency_histogram`, `listening`.
 2. The path of a transaction from and to its client. `exchange` is the state of one transaction in progress.
    `client_listener` and `client_connection` accept clients, and `transaction_listener` reads the edge node's
    transactions from them. `transaction_gateway` (with `transaction_request` and `call_terms`) accepts transactions and
--- a/rampfront/net/client_listener.py
+++ b/rampfront/net/client_listener.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -17,6 +16,7 @@
 from .exchange import AnyExchange
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, HttpStatusError
 from .limits import NetworkLimits
+from .listening import open_inherited_server, open_server
 
 _IMMEDIATELY_NS = -1  # a timeout that every connection exceeds
 
@@ -97,14 +97,15 @@
             inherited: the descriptor of a listening socket that was passed to this process, which is used instead of
                 the address. During an upgrade the old and the new process then accept from one queue, and connections
                 that wait in it are not lost when the old process closes its copy.
+
+        Raises:
+            OSError: the address cannot be listened on.
         """
         backlog = self.limits.listen_backlog
         if inherited is None:
-            self.server = await self.loop.create_server(self.make_connection, host, port, backlog=backlog)
-            return
-        listening = socket.socket(fileno=inherited)
-        listening.setblocking(False)
-        self.server = await self.loop.create_server(self.make_connection, sock=listening, backlog=backlog)
+            self.server = await open_server(self.loop, self.make_connection, host, port, backlog)
+        else:
+            self.server = await open_inherited_server(self.loop, self.make_connection, inherited, backlog)
 
     def make_connection(self) -> ClientConnection:
         """Returns the protocol object of a new connection."""
--- a/rampfront/net/http_server.py
+++ b/rampfront/net/http_server.py
@@ -17,6 +17,7 @@
 from .http_server_connection import RETRY_AFTER_S, HttpServerConnection
 from .http_status import INTERNAL_SERVER_ERROR, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
+from .listening import open_server
 
 _NS_PER_S = 10**9
 _MAX_SCHEME_BYTES = 9  # of a request target in absolute form, including "://"
@@ -79,9 +80,9 @@
         return sum(connection.request is not None for connection in self.connections)
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
-        """Opens the listener. With `port` 0 the system chooses one. Returns the bound host and port."""
+        """Opens the listener. With `port` 0 the system chooses one. Returns the bound host and port. Raises OSError."""
         backlog = self.limits.listen_backlog
-        self._listener = await self._loop.create_server(lambda: HttpServerConnection(self), host, port, backlog=backlog)
+        self._listener = await open_server(self._loop, lambda: HttpServerConnection(self), host, port, backlog)
         bound_host, bound_port = self._listener.sockets[0].getsockname()[:2]
         self.address = (bound_host, bound_port)
         return self.address
--- a/rampfront/transport/wire.py
+++ b/rampfront/transport/wire.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from ..net.event_log import EventLog
+from ..net.listening import open_server
 from .connections import ConnectionSet
 from .datagram import DatagramEndpoint
 from .frames import KIND_KEY, MAX_DATAGRAM_BYTES, InvalidFrameError, Message, decode_frame, encode_frame
@@ -58,7 +59,7 @@
         self.datagram_transport, _ = await self.loop.create_datagram_endpoint(
             lambda: DatagramEndpoint(self.receive_frame), local_addr=(self.ip, self.port), family=socket.AF_INET
         )
-        await self.loop.create_server(self._accept, self.ip, self.port, backlog=LISTEN_BACKLOG)
+        await open_server(self.loop, self._accept, self.ip, self.port, LISTEN_BACKLOG)
 
     def _accept(self) -> IncomingConnection:
         return IncomingConnection(self.incoming, self.clock, self.counts, self.receive_frame)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -325,6 +325,8 @@
         self.opening.append(pipe)
         return pipe
 
+    sockets = ()  # of the server that it is itself
+
     async def create_server(self, make, host, port, backlog):
         self.make = make
         return self
