--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -19,6 +19,11 @@
     help="The whole system: real proxies, everything else emulated, faults by schedule, rules checked.",
     no_args_is_help=True,
 )
+# Options of the soaks.
+SeedCount = Annotated[int, typer.Option(min=1, help="How many seeds.")]
+FirstSeed = Annotated[int, typer.Option(min=0, help="The first seed.")]
+NodeCount = Annotated[int, typer.Option(min=0, help="Nodes of each run; 0: drawn, from 3 to 6.")]
+JobCount = Annotated[int, typer.Option(min=1, help="Runs at the same time.")]
 _NS_PER_S = 1e9
 _ORDER_SOAK_S = 20.0  # in which operators begin to evacuate zones
 
@@ -105,10 +110,10 @@
 @app.command("soak")
 def system_soak(
     out: OutFolder = Path("found/soak"),
-    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 50,
-    first: Annotated[int, typer.Option(min=0, help="The first seed.")] = 1,
-    nodes: Annotated[int, typer.Option(min=0, help="Nodes of each run; 0: drawn, from 3 to 6.")] = 0,
-    jobs: Annotated[int, typer.Option(min=1, help="Runs at the same time.")] = 2,
+    seeds: SeedCount = 50,
+    first: FirstSeed = 1,
+    nodes: NodeCount = 0,
+    jobs: JobCount = 2,
 ) -> None:
     """Play real nodes under signals, restarts and misbehaving servers, one run for each seed, and judge each run.
 
@@ -124,10 +129,10 @@
 @app.command("soak-orders")
 def system_soak_orders(
     out: OutFolder = Path("found/soak-orders"),
-    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 50,
-    first: Annotated[int, typer.Option(min=0, help="The first seed.")] = 1,
-    nodes: Annotated[int, typer.Option(min=0, help="Nodes of each run; 0: drawn, from 3 to 6.")] = 0,
-    jobs: Annotated[int, typer.Option(min=1, help="Runs at the same time.")] = 2,
+    seeds: SeedCount = 50,
+    first: FirstSeed = 1,
+    nodes: NodeCount = 0,
+    jobs: JobCount = 2,
 ) -> None:
     """Play operators who evacuate zones and give up orders at real nodes under signals and restarts; judge each run.
 
