An order on a zone that the network may have held up is to be sent again on a new connection

A partition between operator and node holds up the bytes of an order on an open connection; the operator repeats the order elsewhere and leaves the connection open, or its end is late as well. When the partition heals, the bytes arrive fresh on an established connection. The node took the order for a new one: it opened a zone that another operator had evacuated meanwhile, or counted as a second operator, so that the zone stayed evacuated behind its return.

Cause: the time of an order began when its bytes arrived; nothing bounded how long they had been on their way.

Evidence: the soak of orders always delivered the end of the stream 3 ms behind such bytes, so it could not see this.

Change: a caller sends an order once its connection is established, or once it has the response before. So the order was sent no longer ago than the kernel sent the last bytes on the connection or established it, and a round trip (`tcpi_last_data_sent`, `tcpi_rtt`; a handshake that was repeated bounds nothing). Its 0.8 s count from then, which covers the time in which a node that stood still did not read it, too. If it came over 0.3 s behind those bytes, it is answered 503 with `Connection: close` and not carried out. This works by causality, whoever held the order up: the next attempt of a caller who waits comes on a new connection, which bounds its age, and a caller who has gone sends none. So no zone stays evacuated for an operator who goes on. An order of a caller whose round trip is long is held back for at most half of its time. The outcome `again` is no longer read from frames, as it is not sent. The soak delivers held-up bytes as above.

--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -144,13 +144,18 @@
                 self._left_open.append(writer)
 
     async def _deliver_late(self, node: Node, name: str, zone: str) -> None:
-        """Delivers an attempt that the network held up: its bytes, and the end of the caller's stream behind them."""
-        await asyncio.sleep(self._rng.uniform(_MIN_HELD_UP_S, _MAX_HELD_UP_S))
+        """Delivers an attempt that the network held up, on the connection that its caller opened for it.
+
+        The end of the caller's stream follows the bytes, unless the caller left the connection open.
+        """
         with suppress(OSError):
             _, writer = await asyncio.open_connection(*parse_address(node.control))
+            await asyncio.sleep(self._rng.uniform(_MIN_HELD_UP_S, _MAX_HELD_UP_S))
+            if writer.is_closing():  # the node has ended
+                return
             writer.write(_request(name, zone))
             await asyncio.sleep(_END_BEHIND_S)
-            writer.close()
+            self._depart(writer)
 
     async def end(self) -> None:
         """Waits for attempts that were held up, and closes the connections that were left open."""
--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -22,6 +22,7 @@
     body: bytes = b""
     headers: Headers = ()
     content_type: bytes = JSON
+    closes_connection: bool = False
 
 
 def json_response(content: object, status: int = 200, headers: Headers = ()) -> Response:
@@ -42,6 +43,25 @@
     LOST = "lost"  # the sender of the request has not received all of it
 
 
+class RequestTiming(NamedTuple):
+    """What is known of when a request was sent.
+
+    Attributes:
+        max_age_ns: its sender sent it no longer ago than this.
+        gap_ns: how long after this machine's last bytes it arrived, whether it was sent late or was delayed.
+        round_trip_ns: the round-trip time to its sender.
+        is_bounded: whether `max_age_ns` holds.
+    """
+
+    max_age_ns: int = 0
+    gap_ns: int = 0
+    round_trip_ns: int = 0
+    is_bounded: bool = True
+
+
+UNKNOWN_TIMING = RequestTiming()  # of a request without a TCP connection
+
+
 DeliveryCallback: TypeAlias = Callable[[Delivery], None]  # called exactly once
 
 
@@ -77,9 +97,10 @@
         query: the query parameters, percent-decoded.
         body: the body, without chunk framing.
         idempotency_key: the Idempotency-Key, which the sender repeats on each retry; empty if there is none.
+        closes_connection: whether its connection is closed after the response.
     """
 
-    __slots__ = ("method", "path", "query", "body", "idempotency_key", "_connection")
+    __slots__ = ("method", "path", "query", "body", "idempotency_key", "closes_connection", "_connection")
 
     def __init__(
         self,
@@ -95,6 +116,7 @@
         self.query = query
         self.body = body
         self.idempotency_key = b""
+        self.closes_connection = False
         self._connection: RequestConnection | None = connection
 
     @property
@@ -117,18 +139,18 @@
         state = self._connection.tcp_state
         return state is None or state.is_established
 
-    def age_ns(self) -> int:
-        """The time since its last byte arrived at this machine; 0 if that is not known. Each call is a system call.
+    def timing(self) -> RequestTiming:
+        """When its sender can have sent it. Each call is a system call.
 
-        It includes the time in which the process was suspended or busy and had not read the request.
+        A sender sends a request once it has the response to the one before, or the connection is established. So the
+        last bytes of this machine bound its age, however long the network held it up or this process did not read it.
         """
         state = self._connection.tcp_state if self._connection is not None else None
-        return state.data_age_ns if state is not None else 0
-
-    def round_trip_ns(self) -> int:
-        """The round-trip time to its sender; 0 if that is not known. Each call is a system call."""
-        state = self._connection.tcp_state if self._connection is not None else None
-        return state.round_trip_ns if state is not None else 0
+        if state is None:
+            return UNKNOWN_TIMING
+        gap_ns = max(0, state.sent_age_ns - state.received_age_ns)
+        age_ns = max(state.sent_age_ns, state.received_age_ns) + state.round_trip_ns
+        return RequestTiming(age_ns, gap_ns, state.round_trip_ns, state.is_delay_bounded)
 
     def respond(
         self,
@@ -156,7 +178,7 @@
             if on_delivery is not None:
                 on_delivery(Delivery.LOST)
             return False
-        connection.respond(Response(status, body, headers, content_type), on_delivery)
+        connection.respond(Response(status, body, headers, content_type, self.closes_connection), on_delivery)
         return True
 
 
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -239,7 +239,7 @@
             if on_delivery is not None:
                 on_delivery(Delivery.LOST)
             return
-        self.reader.last = self.reader.last or self._owner.draining
+        self.reader.last = self.reader.last or response.closes_connection or self._owner.draining
         self.transport.write(_encode_response(response, close=self.reader.last, omit_body=is_head))
         self._on_delivery = on_delivery
         if self.reader.last and on_delivery is not None:
--- a/rampfront/net/tcp_state.py
+++ b/rampfront/net/tcp_state.py
@@ -1,7 +1,8 @@
-"""What the kernel knows of a TCP connection and the event loop has not seen yet: its state, and the age of its data.
+"""What the kernel knows of a TCP connection and the event loop does not: its state, and how old its data may be.
 
-A process that was suspended, or whose event loop is late, reads bytes that arrived long before. The kernel counts the
-time since they arrived, and knows whether the peer has ended its stream behind them (Linux, `TCP_INFO` of tcp(7)).
+A process that was suspended, or whose event loop is late, reads bytes that arrived long before, and a network may have
+held them up before they arrived. The kernel counts the time since it last sent data, and knows whether the peer has
+ended its stream (Linux, `TCP_INFO` of tcp(7)).
 """
 
 import asyncio
@@ -13,8 +14,9 @@
 _NS_PER_US = 10**3
 _ESTABLISHED = 1  # values of `tcpi_state`
 _MAX_STATE = 12
-# Of `struct tcp_info`: `tcpi_state`, `tcpi_last_data_recv` in ms, and `tcpi_rtt` in us.
-_FIELDS = struct.Struct("=B51xI12xI")
+# Of `struct tcp_info`: `tcpi_state`, `tcpi_last_data_sent` and `tcpi_last_data_recv` in ms, `tcpi_rtt` in us, and
+# `tcpi_total_retrans`.
+_FIELDS = struct.Struct("=B43xI4xI12xI28xI")
 
 
 class TcpState(NamedTuple):
@@ -22,13 +24,26 @@
 
     Attributes:
         is_established: whether both directions are open: the peer has neither ended its stream nor reset it.
-        data_age_ns: the time since the last data arrived.
-        round_trip_ns: the smoothed round-trip time to the peer.
+        sent_age_ns: the time since this machine last sent data, or since the connection was established.
+        received_age_ns: the time since the last data arrived.
+        round_trip_ns: the smoothed round-trip time to the peer; 0 if it is not known.
+        retransmissions: of segments of this machine, the handshake included.
     """
 
     is_established: bool
-    data_age_ns: int
+    sent_age_ns: int
+    received_age_ns: int
     round_trip_ns: int
+    retransmissions: int
+
+    @property
+    def is_delay_bounded(self) -> bool:
+        """Whether `sent_age_ns` and the round-trip time bound the age of a request.
+
+        If the handshake was repeated, the kernel does not know how long it took, and the request may have waited for
+        it at the peer.
+        """
+        return self.round_trip_ns > 0 or not self.retransmissions
 
 
 def read_tcp_state(transport: asyncio.Transport) -> TcpState | None:
@@ -42,7 +57,13 @@
         return None
     if len(info) < _FIELDS.size:
         return None
-    state, data_age_ms, round_trip_us = _FIELDS.unpack(info)
+    state, sent_age_ms, received_age_ms, round_trip_us, retransmissions = _FIELDS.unpack(info)
     if not _ESTABLISHED <= state <= _MAX_STATE:
         return None
-    return TcpState(state == _ESTABLISHED, data_age_ms * _NS_PER_MS, round_trip_us * _NS_PER_US)
+    return TcpState(
+        state == _ESTABLISHED,
+        sent_age_ms * _NS_PER_MS,
+        received_age_ms * _NS_PER_MS,
+        round_trip_us * _NS_PER_US,
+        retransmissions,
+    )
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -36,12 +36,18 @@
 MAX_KEY_BYTES = 64  # of an idempotency key
 IDENTITY_BYTES = 6
 NO_ANSWER = error_response(503, "the core gave no answer in time", ((b"Retry-After", b"0.3"),))
-NOT_CARRIED_OUT = (GIVEN_UP, Outcome.NEEDS_REPEAT)  # outcomes after which an order never takes effect
+MAY_BE_LATE = error_response(
+    503,
+    "not carried out: it may have been sent over a second ago; send it again on a new connection",
+    ((b"Retry-After", b"0.3"),),
+)
 NEEDS_REPEAT = error_response(
     503,
     "not carried out: may be a late copy of an earlier order, as the zone was changed meanwhile; send it again",
     ((b"Retry-After", b"0.3"),),
 )
+# By outcomes after which an order on a zone never takes effect.
+ANSWERS: dict[str | None, Response] = {GIVEN_UP: MAY_BE_LATE, Outcome.NEEDS_REPEAT: NEEDS_REPEAT}
 
 
 class ControlCalls:
@@ -151,8 +157,10 @@
                 answer = json_response(evacuation_view(zone, state))
                 request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
-                reply(request, NEEDS_REPEAT if outcome == Outcome.NEEDS_REPEAT else NO_ANSWER)
-                if outcome not in NOT_CARRIED_OUT:  # the order may be in force, but its caller got no acknowledgement
+                # The caller opens a connection for the next attempt: its age bounds that of the order.
+                request.closes_connection = outcome == GIVEN_UP
+                reply(request, ANSWERS.get(outcome, NO_ANSWER))
+                if outcome not in ANSWERS:  # the order may be in force, but its caller got no acknowledgement
                     on_delivery(Delivery.LOST)
 
         self._orders.submit(kind, zone, on_done, identity, caller=request)
--- a/rampfront/node/log_events.py
+++ b/rampfront/node/log_events.py
@@ -67,7 +67,8 @@
     "order given up",
     "info",
     "party age_ms",
-    "an order on a zone (`party`: its kind) was not carried out: its caller no longer waited for the answer",
+    "an order on a zone (`party`: its kind) was not carried out: its caller no longer waited for the answer, or may "
+    "not have; `age_ms`: it was sent no longer ago",
 )
 ORDER_REPLY_DROPPED = LogEvent(
     "order reply dropped",
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -68,7 +68,7 @@
     "orders_refused": "Orders that were refused as faulty, or as in conflict with a confirmed revision.",
     "orders_repeated": "Requests for an order that this node, as the leader, had already.",
     "orders_busy": "Orders that were refused because too many were in flight.",
-    "orders_given_up": "Orders on zones that this node did not carry out, as their callers no longer waited.",
+    "orders_given_up": "Orders on zones that this node did not carry out: their callers had gone, or may have.",
     "orders_late": "Orders on zones that reached this node, as the leader, behind their deadline; not carried out.",
     "orders_abandoned": "Orders that the core never answered to this node as the leader.",
     "answers_delivered": "Acknowledged orders on zones whose callers have read the answer.",
--- a/rampfront/node/open_order.py
+++ b/rampfront/node/open_order.py
@@ -5,6 +5,7 @@
 
 from ..consensus.state import State
 from ..membership.leadership import LeaderAnswer
+from ..net.http_messages import RequestTiming
 from .order_messages import OUTCOMES_WITH_STATE, OrderDeadline, OrderReply, OrderRequest
 
 # Called once with (outcome, state). The outcome is one of `consensus.events`, or BUSY, or None for a timeout; the state
@@ -19,12 +20,8 @@
         """Whether the caller still waits for the answer."""
         raise NotImplementedError
 
-    def age_ns(self) -> int:
-        """The time since the call arrived at this machine."""
-        raise NotImplementedError
-
-    def round_trip_ns(self) -> int:
-        """The round-trip time to the caller; 0 if that is not known."""
+    def timing(self) -> RequestTiming:
+        """When the caller can have sent the call."""
         raise NotImplementedError
 
 
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -44,7 +44,6 @@
         Outcome.DONE,
         Outcome.NOT_LEADER,
         Outcome.REJECTED,
-        Outcome.NEEDS_REPEAT,
         Outcome.UNKNOWN,
         Outcome.CONFLICT,
         BUSY,
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -7,9 +7,10 @@
 
 The caller of an order on a zone is not identified, and repeats the order at another node after a second without an
 answer. If the order were carried out after that, it could undo one that was given and acknowledged meanwhile. Therefore
-it is sent only while its caller waits for the answer, the time in which it lay unread at this machine counts, and the
-leader gets a deadline (`order_messages.OrderDeadline`). It is held back first: if the network delivers the bytes of a
-caller who has gone, the end of the stream follows them within a round trip.
+it is sent only while its caller waits for the answer, its time begins when it can have been sent at the earliest, and
+the leader gets a deadline (`order_messages.OrderDeadline`). An order that may have been sent too long ago is rejected:
+a caller who waits gives it once more, on a new connection, whose age bounds that of the order. It is held back first:
+if the network delivers the bytes of a caller who has gone, the end of the stream follows them within a round trip.
 """
 
 from __future__ import annotations
@@ -17,12 +18,14 @@
 from typing import TYPE_CHECKING
 
 from ..consensus.events import Outcome
+from ..net.http_messages import UNKNOWN_TIMING
 from . import log_events
 from .open_order import OpenOrder
 from .order_messages import BUSY, GIVEN_UP, INCARNATION_BITS, LATE, OrderReply, OrderRequest, decode_identity
 
 if TYPE_CHECKING:
     from ..membership.dissemination import Disseminator
+    from ..net.http_messages import RequestTiming
     from ..transport.frames import Message
     from .context import NodeContext
     from .core_driver import CoreDriver
@@ -36,6 +39,7 @@
 RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # after a reply that the node does not lead, or was asked too late
 MIN_HOLD_NS, MAX_HOLD_NS = 20 * MS, 200 * MS  # of an order whose caller must wait
 HOLD_ROUND_TRIPS = 2  # twice the mean, as single round trips take longer
+MAX_GAP_NS = 300 * MS  # between this machine's last bytes and an order; behind it the network may have held it up
 MAX_OPEN = 256  # orders of this node without an answer
 NUMBER_BITS = 20  # low bits of an order's identity; the higher bits are the incarnation
 MAX_IDENTITIES = (1 << NUMBER_BITS) - 1
@@ -82,8 +86,9 @@
         """
         counts = self._context.counts
         now = self._context.clock()
-        due = now + ANSWER_TIMEOUT_NS - (caller.age_ns() if caller is not None else 0)
-        if caller is not None and (now >= due or not caller.is_awaited()):
+        timing = caller.timing() if caller is not None else UNKNOWN_TIMING
+        due = now + ANSWER_TIMEOUT_NS - timing.max_age_ns
+        if caller is not None and (_may_be_late(timing) or now >= due or not caller.is_awaited()):
             self._note_given_up(kind, due, now)
             on_done(GIVEN_UP, None)
             return
@@ -102,8 +107,7 @@
             self._send(order, now)
         else:
             order.resend_at = now + ANSWER_TIMEOUT_NS  # no tick sends it before
-            hold = HOLD_ROUND_TRIPS * caller.round_trip_ns()
-            self._context.scheduler.call_after(min(max(hold, MIN_HOLD_NS), MAX_HOLD_NS), self._send_if_open, order)
+            self._context.scheduler.call_after(_hold_ns(timing, due - now), self._send_if_open, order)
 
     def tick(self, now: int) -> None:
         """Resend orders without a reply; to be called about ten times a second."""
@@ -187,3 +191,14 @@
     def _drop(self, ip: str, reason: str) -> None:
         self._context.counts["replies_unsolicited"] += 1
         self._context.log.record_limited(log_events.ORDER_REPLY_DROPPED, ip, reason=reason)
+
+
+def _may_be_late(timing: RequestTiming) -> bool:
+    """Whether the network may have held an order up for so long that its caller has turned to another node."""
+    return timing.gap_ns > MAX_GAP_NS or not timing.is_bounded
+
+
+def _hold_ns(timing: RequestTiming, remaining_ns: int) -> int:
+    """Return for how long an order is held back; at most for half of the time that remains."""
+    hold_ns = HOLD_ROUND_TRIPS * timing.round_trip_ns
+    return min(max(hold_ns, MIN_HOLD_NS), MAX_HOLD_NS, remaining_ns // 2)
--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from ..net.event_log import EventLog
+from ..net.http_messages import UNKNOWN_TIMING
 from ..node.assembly import build_node_process
 from ..node.endpoints import build_control_calls, build_directory
 from ..node.metrics import COUNTERS
@@ -387,7 +388,7 @@
 class ApiCall:
     """A call to a node's directory or control API."""
 
-    __slots__ = "query", "body", "respond", "path", "idempotency_key", "is_awaited"
+    __slots__ = "query", "body", "respond", "path", "idempotency_key", "is_awaited", "closes_connection"
 
     def __init__(self, query, body=b"", respond=None, is_awaited=lambda: True):
         """`respond`: called with an answer that is not given at once; `is_awaited`: returns whether the caller still
@@ -395,13 +396,9 @@
         self.query, self.body, self.respond, self.path, self.idempotency_key = query, body, respond, "", b""
         self.is_awaited = is_awaited
 
-    def age_ns(self):
-        """The time since the call arrived."""
-        return 0
-
-    def round_trip_ns(self):
-        """The round-trip time to the caller."""
-        return 0
+    def timing(self):
+        """When the caller can have sent the call."""
+        return UNKNOWN_TIMING
 
 
 class Fleet(EventScheduler):
--- a/tests/node/test_given_up_orders.py
+++ b/tests/node/test_given_up_orders.py
@@ -5,7 +5,10 @@
 run on a fake clock, and callers have the connections that a kernel would have.
 """
 
+import json
 import struct
+from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from node_fixtures import CALLER, LEADER, NodeHarness
@@ -17,8 +20,10 @@
 from rampfront.membership.peers import MAX_EARLIER_ARRIVALS, Peer
 from rampfront.membership.roster import RosterEntry
 from rampfront.membership.versions import NO_VERSIONS
-from rampfront.node.order_messages import LATE, OrderDeadline, OrderRequest
-from rampfront.node.order_submitter import ANSWER_TIMEOUT_NS
+from rampfront.net.http_messages import RequestTiming
+from rampfront.node.control_calls import ControlCalls
+from rampfront.node.order_messages import GIVEN_UP, LATE, OrderDeadline, OrderRequest
+from rampfront.node.order_submitter import ANSWER_TIMEOUT_NS, MAX_GAP_NS
 
 PATIENCE = SEC  # after which a caller without an answer turns to another node
 FROZEN = 4800 * MS
@@ -29,8 +34,10 @@
 class ImpatientCaller(Connection):
     """A caller who turns away after a second without an answer, and closes the connection or leaves it open."""
 
-    def __init__(self, system: System, node: int, name: str, closes: bool) -> None:
+    def __init__(self, system: System, node: int, name: str, closes: bool, held_up: int = 0) -> None:
+        """`held_up`: for which the network holds up the order on the connection, in ns."""
         self.arrives_at, self.has_ended = system.fleet.now + MS, False
+        self.connected_at = self.arrives_at - held_up
         request = f"POST /api/rpc?call={name}&of=a1 HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n".encode()
         super().__init__(system, system.fleet.machines[node], request, None)
         if closes:
@@ -56,8 +63,9 @@
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
         """Return the kernel's `tcp_info`."""
-        age_ms = (self.system.fleet.now - self.arrives_at) // MS
-        return struct.pack("=B51xI12xI", CLOSE_WAIT if self.has_ended else ESTABLISHED, age_ms, 2000)[:size]
+        sent_age, received_age = ((self.system.fleet.now - at) // MS for at in (self.connected_at, self.arrives_at))
+        state = CLOSE_WAIT if self.has_ended else ESTABLISHED
+        return struct.pack("=B43xI4xI12xI28xI", state, sent_age, received_age, 2000, 0)[:size]
 
 
 def node_number(system: System, which: object) -> int:
@@ -153,20 +161,37 @@
     assert system.evacuated_at() == [is_evacuated] * len(system.fleet.machines)
 
 
+@pytest.mark.parametrize("name", ["empty.finish", "empty.start"])
+def test_an_order_that_the_network_held_up_changes_nothing_while_its_connection_stays_open(
+    system: System, name: str
+) -> None:
+    """The caller has repeated the order elsewhere, and the end of its stream never comes."""
+    acknowledged(system, WITHOUT_DISK, "empty.start")
+    if name == "empty.finish":
+        system.wait(8 * SEC)
+        acknowledged(system, WITHOUT_DISK, "empty.finish")
+        system.wait(12 * SEC)
+        acknowledged(system, WITHOUT_DISK, "empty.start")
+    system.wait(2 * SEC)
+    ImpatientCaller(system, WITHOUT_DISK, name, closes=False, held_up=4 * SEC)
+    system.wait(8 * SEC)
+    assert all(system.evacuated_at())
+    acknowledged(system, WITHOUT_DISK, "empty.finish")
+    system.wait(20 * SEC)
+    assert not any(system.evacuated_at())
+
+
 class WaitingCaller:
     """A caller as the order's submitter sees it."""
 
-    def __init__(self, age: int = 0, waits: bool = True) -> None:
-        self.age, self.waits = age, waits
+    def __init__(self, age: int = 0, waits: bool = True, **timing: int) -> None:
+        self.waits, self.known = waits, RequestTiming(age, **{"round_trip_ns": 60 * MS, **timing})
 
     def is_awaited(self) -> bool:
         return self.waits
 
-    def age_ns(self) -> int:
-        return self.age
-
-    def round_trip_ns(self) -> int:
-        return 60 * MS
+    def timing(self) -> RequestTiming:
+        return self.known
 
 
 def submit(node: NodeHarness, caller: WaitingCaller) -> None:
@@ -182,9 +207,16 @@
     return sent_at
 
 
-@pytest.mark.parametrize("caller", [WaitingCaller(ANSWER_TIMEOUT_NS), WaitingCaller(waits=False)])
-def test_an_order_whose_caller_has_given_up_is_not_sent(caller: WaitingCaller) -> None:
-    """Its bytes lay unread for longer than callers wait, or its connection has ended."""
+@pytest.mark.parametrize(
+    "caller",
+    [
+        WaitingCaller(ANSWER_TIMEOUT_NS),  # it lay unread for longer than callers wait
+        WaitingCaller(waits=False),
+        WaitingCaller(age=MAX_GAP_NS + 1, gap_ns=MAX_GAP_NS + 1),  # the network may have held it up
+        WaitingCaller(is_bounded=False),
+    ],
+)
+def test_an_order_whose_caller_may_have_given_up_is_not_sent(caller: WaitingCaller) -> None:
     node = NodeHarness()
     answer_heartbeat(node, 0)
     submit(node, caller)
@@ -192,27 +224,51 @@
     assert node.counts["orders_given_up"] == 1
 
 
-def test_an_order_is_sent_only_until_its_caller_gives_up() -> None:
+def test_an_order_of_a_distant_caller_is_sent_in_the_time_that_it_waits() -> None:
     node = NodeHarness()
     answer_heartbeat(node, 0)
-    caller = WaitingCaller()
-    submit(node, caller)
+    submit(node, WaitingCaller(age=600 * MS, round_trip_ns=600 * MS))
     node.loop.wait(150)
-    caller.waits = False
-    node.loop.wait(350)
-    assert len(node.wire.take("order")) == 1 and node.completed == [(None, None)]
+    assert len(node.wire.take("order")) == 1
+    node.receive_reply(LEADER, 1, Outcome.DONE)
+    assert node.completed[0][0] == Outcome.DONE
+
+
+class RejectedCall:
+    """A call whose order is not carried out; records the answer."""
+
+    query, idempotency_key, closes_connection = {"of": "a1"}, b"", False
+
+    def respond(self, status: int, body: bytes, headers: object) -> bool:
+        self.status, self.reason = status, json.loads(body)["Message"]
+        return True
+
+
+def test_a_caller_whose_order_may_be_late_is_told_to_repeat_it_on_a_new_connection() -> None:
+    """Its reports are not sent either: nothing was carried out. An order that the core did not answer stays open."""
+    reports: list[object] = []
+    orders = SimpleNamespace(next_identity=lambda: 7, submit=lambda *about, **_: about[2](outcome, None))
+    control = ControlCalls(orders, SimpleNamespace(report=lambda *about: reports.append(about)), {"a1"}, Counter())
+    closed = {}
+    for outcome in (GIVEN_UP, None):
+        call = RejectedCall()
+        control.start_evacuation(call)
+        assert call.status == 503
+        closed[outcome] = call.closes_connection, "new connection" in call.reason, len(reports)
+    assert closed == {GIVEN_UP: (True, True, 0), None: (False, False, 1)}
 
 
-def test_an_order_waits_for_the_end_of_its_caller_s_stream() -> None:
-    """The network held up the bytes of a caller who has gone; the end of the stream comes a round trip behind them."""
+@pytest.mark.parametrize("gives_up_ms, sent", [(70, 0), (150, 1)])
+def test_an_order_is_sent_only_until_its_caller_gives_up(gives_up_ms: int, sent: int) -> None:
+    """Nor is it sent if the end of the stream comes a round trip behind bytes that the network held up."""
     node = NodeHarness()
     answer_heartbeat(node, 0)
     caller = WaitingCaller()
     submit(node, caller)
-    node.loop.wait(70)
+    node.loop.wait(gives_up_ms)
     caller.waits = False
     node.loop.wait(900)
-    assert not node.wire.take("order") and node.completed == [(None, None)]
+    assert len(node.wire.take("order")) == sent and node.completed == [(None, None)]
 
 
 def test_the_deadline_of_an_order_counts_from_a_heartbeat_that_the_leader_has_answered() -> None:
--- a/tests/pins/adapter.py
+++ b/tests/pins/adapter.py
@@ -21,6 +21,7 @@
 from rampfront.consensus.member import Member
 from rampfront.consensus.record_store import RecordStore
 from rampfront.membership import endpoint_codec, messages
+from rampfront.net.http_messages import UNKNOWN_TIMING, RequestTiming
 from rampfront.net.http_routing import RoutingTable
 from rampfront.node import quota_frames
 from rampfront.node.endpoints import ReadyCheck, build_control_calls, build_directory
@@ -253,13 +254,9 @@
         """Whether the caller still waits."""
         return True
 
-    def age_ns(self) -> int:
-        """The time since the call arrived."""
-        return 0
-
-    def round_trip_ns(self) -> int:
-        """The round-trip time to the caller."""
-        return 0
+    def timing(self) -> RequestTiming:
+        """When the caller can have sent the call."""
+        return UNKNOWN_TIMING
 
     def respond(self, status: int, body: bytes = b"", headers: tuple = (), *_: object, **__: object) -> bool:
         """The answer."""
