--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -2,7 +2,7 @@
 
 An operator evacuates a zone and restores it, again and again, one operator a zone after the other. It gives up an
 attempt after a second without an answer and repeats the order at another node; what it leaves behind may still arrive,
-at a frozen node or through a network that held it up. `judge_zone` decides what must hold, from what the operators
+at a frozen node or through a network that delayed it. `judge_zone` decides what must hold, from what the operators
 know: a zone that they hold evacuated is never open, and one that they have restored does not stay evacuated for ever.
 """
 
@@ -36,9 +36,9 @@
 _MAX_REST_S = 2.5  # between a restoration and the next evacuation
 _MIN_RETRY_S, _MAX_RETRY_S = 0.05, 0.3
 _MIN_FREEZE_S, _MAX_FREEZE_S = 0.3, 4.8
-_HELD_UP_SHARE = 0.15  # of the attempts that the network holds up
-_MIN_HELD_UP_S, _MAX_HELD_UP_S = 1.2, 9.0
-_END_BEHIND_S = 0.003  # the end of a stream arrives so long behind bytes that were held up
+_DELAYED_SHARE = 0.15  # of the attempts that the network delays
+_MIN_DELAY_S, _MAX_DELAY_S = 1.2, 9.0
+_END_BEHIND_S = 0.003  # the end of a stream arrives so long behind delayed bytes
 _READ_INTERVAL_S = 0.15
 _REOPENS_WITHIN_S = 12.0  # the time in which callers retry (7 s), and a change of leader meanwhile
 _MAX_MEMBERS_DOWN = 1
@@ -103,15 +103,15 @@
         self.counts: Counter[str] = Counter()
         self._rng = rng
         self._left_open: list[asyncio.StreamWriter] = []
-        self._held_up: set[asyncio.Task[None]] = set()
+        self._delayed: set[asyncio.Task[None]] = set()
 
     async def attempt(self, node: Node, name: str, zone: str) -> bool:
         """Sends an order once. Returns whether it was acknowledged within the caller's patience."""
-        if self._rng.random() < _HELD_UP_SHARE:
-            self.counts["held up"] += 1
+        if self._rng.random() < _DELAYED_SHARE:
+            self.counts["delayed"] += 1
             task = asyncio.ensure_future(self._deliver_late(node, name, zone))
-            self._held_up.add(task)
-            task.add_done_callback(self._held_up.discard)
+            self._delayed.add(task)
+            task.add_done_callback(self._delayed.discard)
             await asyncio.sleep(_PATIENCE_S)
             return False
         status, _ = await self.call(node, name, zone)
@@ -144,13 +144,13 @@
                 self._left_open.append(writer)
 
     async def _deliver_late(self, node: Node, name: str, zone: str) -> None:
-        """Delivers an attempt that the network held up, on the connection that its caller opened for it.
+        """Delivers an attempt that the network delayed, on the connection that its caller opened for it.
 
         The end of the caller's stream follows the bytes, unless the caller left the connection open.
         """
         with suppress(OSError):
             _, writer = await asyncio.open_connection(*parse_address(node.control))
-            await asyncio.sleep(self._rng.uniform(_MIN_HELD_UP_S, _MAX_HELD_UP_S))
+            await asyncio.sleep(self._rng.uniform(_MIN_DELAY_S, _MAX_DELAY_S))
             if writer.is_closing():  # the node has ended
                 return
             writer.write(_request(name, zone))
@@ -158,8 +158,8 @@
             self._depart(writer)
 
     async def end(self) -> None:
-        """Waits for attempts that were held up, and closes the connections that were left open."""
-        await asyncio.gather(*self._held_up)
+        """Waits for delayed attempts, and closes the connections that were left open."""
+        await asyncio.gather(*self._delayed)
         for writer in self._left_open:
             writer.close()
 
@@ -199,7 +199,7 @@
         broken = "; ".join(f"{zone}: {len(rows)} times, {rows[0]}" for zone, rows in self.broken.items()) or "none"
         return (
             f"seed {self.seed}: {self.nodes} nodes, {sum(self.disturbances.values())} disturbances, "
-            f"{self.evacuations} evacuations, {given_up} attempts given up, {self.calls.get('held up', 0)} held up, "
+            f"{self.evacuations} evacuations, {given_up} attempts given up, {self.calls.get('delayed', 0)} delayed, "
             f"{self.reads} reads, broken: {broken}"
         )
 
--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -143,7 +143,7 @@
         """When its sender can have sent it. Each call is a system call.
 
         A sender sends a request once it has the response to the one before, or the connection is established. So the
-        last bytes of this machine bound its age, however long the network held it up or this process did not read it.
+        last bytes of this machine bound its age, however long the network delayed it or this process did not read it.
         """
         state = self._connection.tcp_state if self._connection is not None else None
         if state is None:
--- a/rampfront/net/tcp_state.py
+++ b/rampfront/net/tcp_state.py
@@ -1,7 +1,7 @@
 """What the kernel knows of a TCP connection and the event loop does not: its state, and how old its data may be.
 
-A process that was suspended, or whose event loop is late, reads bytes that arrived long before, and a network may have
-held them up before they arrived. The kernel counts the time since it last sent data, and knows whether the peer has
+A process that was suspended, or whose event loop is late, reads bytes that arrived long before, and the network may
+have delayed them before that. The kernel counts the time since it last sent data, and knows whether the peer has
 ended its stream (Linux, `TCP_INFO` of tcp(7)).
 """
 
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -36,7 +36,7 @@
 MAX_KEY_BYTES = 64  # of an idempotency key
 IDENTITY_BYTES = 6
 NO_ANSWER = error_response(503, "the core gave no answer in time", ((b"Retry-After", b"0.3"),))
-MAY_BE_LATE = error_response(
+MAY_BE_STALE = error_response(
     503,
     "not carried out: it may have been sent over a second ago; send it again on a new connection",
     ((b"Retry-After", b"0.3"),),
@@ -47,7 +47,7 @@
     ((b"Retry-After", b"0.3"),),
 )
 # By outcomes after which an order on a zone never takes effect.
-ANSWERS: dict[str | None, Response] = {GIVEN_UP: MAY_BE_LATE, Outcome.NEEDS_REPEAT: NEEDS_REPEAT}
+ANSWERS: dict[str | None, Response] = {GIVEN_UP: MAY_BE_STALE, Outcome.NEEDS_REPEAT: NEEDS_REPEAT}
 
 
 class ControlCalls:
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -9,8 +9,8 @@
 answer. If the order were carried out after that, it could undo one that was given and acknowledged meanwhile. Therefore
 it is sent only while its caller waits for the answer, its time begins when it can have been sent at the earliest, and
 the leader gets a deadline (`order_messages.OrderDeadline`). An order that may have been sent too long ago is rejected:
-a caller who waits gives it once more, on a new connection, whose age bounds that of the order. It is held back first:
-if the network delivers the bytes of a caller who has gone, the end of the stream follows them within a round trip.
+a caller who waits retries it on a new connection, whose age bounds that of the order. Each order is sent after a short
+delay: if the network delivers the bytes of a caller who has left, the end of the stream follows within a round trip.
 """
 
 from __future__ import annotations
@@ -37,9 +37,9 @@
 ANSWER_TIMEOUT_NS = 800 * MS  # leaves a fifth of a caller's second for the network
 RESEND_AFTER_NS = 300 * MS
 RESEND_AFTER_NOT_LEADER_NS = RESEND_AFTER_NS // 3  # after a reply that the node does not lead, or was asked too late
-MIN_HOLD_NS, MAX_HOLD_NS = 20 * MS, 200 * MS  # of an order whose caller must wait
-HOLD_ROUND_TRIPS = 2  # twice the mean, as single round trips take longer
-MAX_GAP_NS = 300 * MS  # between this machine's last bytes and an order; behind it the network may have held it up
+MIN_SEND_DELAY_NS, MAX_SEND_DELAY_NS = 20 * MS, 200 * MS  # of an order that its caller has to wait for
+SEND_DELAY_ROUND_TRIPS = 2  # twice the mean, as single round trips take longer
+MAX_GAP_NS = 300 * MS  # between this machine's last bytes and an order; after a longer gap the order may be stale
 MAX_OPEN = 256  # orders of this node without an answer
 NUMBER_BITS = 20  # low bits of an order's identity; the higher bits are the incarnation
 MAX_IDENTITIES = (1 << NUMBER_BITS) - 1
@@ -88,7 +88,7 @@
         now = self._context.clock()
         timing = caller.timing() if caller is not None else UNKNOWN_TIMING
         due = now + ANSWER_TIMEOUT_NS - timing.max_age_ns
-        if caller is not None and (_may_be_late(timing) or now >= due or not caller.is_awaited()):
+        if caller is not None and (_may_be_stale(timing) or now >= due or not caller.is_awaited()):
             self._note_given_up(kind, due, now)
             on_done(GIVEN_UP, None)
             return
@@ -107,7 +107,7 @@
             self._send(order, now)
         else:
             order.resend_at = now + ANSWER_TIMEOUT_NS  # no tick sends it before
-            self._context.scheduler.call_after(_hold_ns(timing, due - now), self._send_if_open, order)
+            self._context.scheduler.call_after(_send_delay_ns(timing, due - now), self._send_if_open, order)
 
     def tick(self, now: int) -> None:
         """Resend orders without a reply; to be called about ten times a second."""
@@ -138,7 +138,7 @@
             self._wire.send(leader, order.request.encode())
 
     def _send_if_open(self, order: OpenOrder) -> None:
-        """Send an order that was held back."""
+        """Send an order after its delay, unless it has ended."""
         if self.open.get(order.request.number) is order:
             self._send(order, self._context.clock())
 
@@ -193,12 +193,12 @@
         self._context.log.record_limited(log_events.ORDER_REPLY_DROPPED, ip, reason=reason)
 
 
-def _may_be_late(timing: RequestTiming) -> bool:
-    """Whether the network may have held an order up for so long that its caller has turned to another node."""
+def _may_be_stale(timing: RequestTiming) -> bool:
+    """Whether an order may have been delayed for longer than its caller waits."""
     return timing.gap_ns > MAX_GAP_NS or not timing.is_bounded
 
 
-def _hold_ns(timing: RequestTiming, remaining_ns: int) -> int:
-    """Return for how long an order is held back; at most for half of the time that remains."""
-    hold_ns = HOLD_ROUND_TRIPS * timing.round_trip_ns
-    return min(max(hold_ns, MIN_HOLD_NS), MAX_HOLD_NS, remaining_ns // 2)
+def _send_delay_ns(timing: RequestTiming, remaining_ns: int) -> int:
+    """Return the delay before an order is sent; at most half of the remaining time."""
+    delay_ns = SEND_DELAY_ROUND_TRIPS * timing.round_trip_ns
+    return min(max(delay_ns, MIN_SEND_DELAY_NS), MAX_SEND_DELAY_NS, remaining_ns // 2)
