The soak of orders keeps connections open and uses them again until their process is gone

Cause: each call of the soak opened a connection, so it could not see whether an order on a connection that was idle for a while, which is answered 503 and is to be sent on a new one, is acknowledged in the end. Change: seven of ten connections are kept after an answer, and the next call to the node uses them.

--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -37,6 +37,7 @@
 _MIN_RETRY_S, _MAX_RETRY_S = 0.05, 0.3
 _MIN_FREEZE_S, _MAX_FREEZE_S = 0.3, 4.8
 _DELAYED_SHARE = 0.15  # of the attempts that the network delays
+_KEPT_SHARE = 0.7  # of the connections that are kept for the next call after an answer
 _MIN_DELAY_S, _MAX_DELAY_S = 1.2, 9.0
 _END_BEHIND_S = 0.003  # the end of a stream arrives so long behind delayed bytes
 _READ_INTERVAL_S = 0.15
@@ -103,6 +104,7 @@
         self.counts: Counter[str] = Counter()
         self._rng = rng
         self._left_open: list[asyncio.StreamWriter] = []
+        self._kept: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}  # idle ones, by node
         self._delayed: set[asyncio.Task[None]] = set()
 
     async def attempt(self, node: Node, name: str, zone: str) -> bool:
@@ -119,11 +121,15 @@
         return status == OK
 
     async def call(self, node: Node, name: str, zone: str = "") -> tuple[int, bytes]:
-        """Sends a call, and returns the status and the body of its answer; status 0 for none in time."""
-        writer = None
+        """Sends a call, and returns the status and the body of its answer; status 0 for none in time.
+
+        A connection that was kept is used again, if its node has not closed it.
+        """
+        reader, writer = self._kept.pop(node.name, (None, None))
         try:
             async with asyncio.timeout(_PATIENCE_S):
-                reader, writer = await asyncio.open_connection(*parse_address(node.control))
+                if reader is None or writer is None or writer.is_closing():
+                    reader, writer = await asyncio.open_connection(*parse_address(node.control))
                 writer.write(_request(name, zone))
                 head = await reader.readuntil(b"\r\n\r\n")
                 body = await reader.readexactly(_content_length(head))
@@ -131,7 +137,10 @@
             if writer is not None:
                 self._depart(writer)
             return 0, b""
-        writer.close()
+        if b"\r\nconnection: close\r\n" in head.lower() or self._rng.random() > _KEPT_SHARE:
+            writer.close()
+        else:
+            self._kept[node.name] = reader, writer
         return int(head.split(b" ", 2)[1]), body
 
     def _depart(self, writer: asyncio.StreamWriter) -> None:
@@ -158,9 +167,9 @@
             self._depart(writer)
 
     async def end(self) -> None:
-        """Waits for delayed attempts, and closes the connections that were left open."""
+        """Waits for delayed attempts, and closes the connections that were left open or kept."""
         await asyncio.gather(*self._delayed)
-        for writer in self._left_open:
+        for writer in (*self._left_open, *(writer for _, writer in self._kept.values())):
             writer.close()
 
 
