--- a/rampfront/lab/system/disturbances.py
+++ b/rampfront/lab/system/disturbances.py
@@ -189,3 +189,13 @@
     runs = [NodeDisturbance(system, node, core_slots, Random(rng.random())).run() for node in system.nodes]
     runs += [ServerDisturbance(system, Random(rng.random())).run(), collect_evidence(system)]
     return [system.loop.create_task(run) for run in runs]
+
+
+def resume_nodes(system: RunningSystem) -> None:
+    """Continues the processes of all nodes that are stopped, and starts those that have ended."""
+    for node in system.nodes:
+        child = system.children[node.name]
+        if child.poll() is None:
+            child.send_signal(signal.SIGCONT)
+        else:
+            system.launch(node, first=False)
--- a/rampfront/lab/system/order_soak.py
+++ b/rampfront/lab/system/order_soak.py
@@ -25,7 +25,7 @@
 from ..nodes import RunFailedError
 from . import plan as plans
 from . import run as runs
-from .disturbances import NodeDisturbance
+from .disturbances import NodeDisturbance, resume_nodes
 from .seeded_runs import SeededResult
 from .soak_plan import SoakSize, base_address, place_nodes
 
@@ -237,7 +237,7 @@
         await asyncio.gather(*operators)
         for task in tasks[:-1]:
             await self._end_disturbance(task)
-        self._resume_all()
+        resume_nodes(self)
         await self.caller.end()
         await asyncio.sleep(_REOPENS_WITHIN_S + 1.0)
         tasks[-1].cancel()
@@ -250,15 +250,6 @@
         with suppress(asyncio.CancelledError):
             await task
 
-    def _resume_all(self) -> None:
-        """Lets all nodes run."""
-        for node in self.nodes:
-            child = self.children[node.name]
-            if child.poll() is None:
-                child.send_signal(signal.SIGCONT)
-            else:
-                self.launch(node, first=False)
-
     async def _operate(self, zone: str, rng: Random, ends_at: float) -> None:
         """Evacuates and restores a zone until the run ends."""
         history = self.histories[zone]
--- a/rampfront/lab/system/soak.py
+++ b/rampfront/lab/system/soak.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import re
-import signal
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -21,7 +20,7 @@
 from ..simulated_servers import SimulatedServer
 from . import run as runs
 from .clients import Client, LoadGenerator
-from .disturbances import start_disturbances
+from .disturbances import resume_nodes, start_disturbances
 from .judge import breaches, judge, summarize_findings
 from .misbehaving_server import Manners, MisbehavingServer
 from .plan import Experiment
@@ -116,12 +115,7 @@
         for server in self.fleet.servers.values():
             server.resume_reading()
         await asyncio.sleep(_EXECUTION_GRACE_S)
-        for node in self.nodes:
-            child = self.children[node.name]
-            if child.poll() is None:
-                child.send_signal(signal.SIGCONT)
-            else:
-                self.launch(node, first=False)
+        resume_nodes(self)
 
 
 def play(seed: int, size: SoakSize, out: Path) -> SoakResult:
