An order that may be a late copy is found by what any leader accepted within a minute, named or not

Seen by callers: an attempt that its caller had given up, and that something between operator and node delivered later on a fresh connection, opened a zone behind a change of leader or behind orders with other Idempotency-Keys; or it left a zone evacuated for ever: as one more operator of a zone that was evacuated, behind a change of leader, or with the key of an evacuation that had been taken back.

Cause: the leader demanded a repeat only if the order of the other kind had come in between and the zone would open or close; its memory was of 7 s and its own, so the next leader had none; of names it kept the last return and the evacuations in force.

Change: an order that would change who keeps its zone evacuated, within 60 s behind one of the same kind on the zone, is answered 503 and carried out if it is given again within 7 s. One that takes the place of a lost answer is exempt, so a repeat is not delayed. Every member derives the orders from the states that it commits (zone_order_history.py); what a state or a restarted process cannot show counts as an order of unknown name. An order whose name is known changes nothing. Names are kept only from committed states, beside those of the leader's own term, so one that was never committed is carried out when it is given again. The submitting node's request keeps the outcome 'again', since the next attempt of a named order has the same identity. Why it works: a copy differs from an order only by its caller, who has gone and does not repeat it.

--- a/rampfront/consensus/evacuations.py
+++ b/rampfront/consensus/evacuations.py
@@ -148,6 +148,12 @@
     return ZoneChange(zones, _updated(evacuations, zone, after))
 
 
+def has_lost_claim(evacuations: EvacuationTable, zone: str) -> bool:
+    """Whether the answer to an order that keeps the zone evacuated was lost, so that the next one replaces it."""
+    evacuation = evacuations.get(zone, SINGLE_OPERATOR)
+    return bool(evacuation.operators) and evacuation_claims.lost_claim(evacuation.claims) is not None
+
+
 def _updated(evacuations: EvacuationTable, zone: str, after: Evacuation) -> EvacuationTable:
     """Returns the table with one zone set to `after`; the same object if nothing changes."""
     if evacuations.get(zone, SINGLE_OPERATOR) == after:
--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -1,36 +1,28 @@
-"""Detects orders on a zone that may be late copies: orders that their callers gave up and repeated elsewhere.
+"""Detects orders on a zone that may be late copies: attempts that their callers gave up and repeated elsewhere.
 
 Nodes do not carry out an order whose caller is known to be gone, and give the leader a deadline. What is late on the
 way from the caller to the node looks like a new order nevertheless. If an operator restores a zone, another one
-evacuates it, and then a copy of the restoration arrives, it would reopen the zone for both.
+evacuates it, and then a copy of the restoration arrives, it would reopen the zone for both. A copy of an evacuation
+would count as one more operator, who never restores the zone.
 
-Such an order has a pattern: it repeats the change before the newest one of its zone, soon after it. It is carried out
-only if it is given once more: a caller who waits repeats an order that was not carried out, and one who has gone does
-not. So neither is a late copy carried out, nor is the order of an operator who waits ignored. An order that its caller
-named is exempt, since its name shows whether it is a repeat, and so is one without an identity, which an older node
-sent.
+A copy has a pattern: an order of the same kind on its zone was accepted in the last minute, whatever happened since.
+If such an order would change who keeps the zone evacuated, it is carried out only if it is given once more: a caller
+who waits repeats an order that was not carried out, and one who has gone does not. So neither is a late copy carried
+out, nor is the order of an operator who waits ignored. An order that its caller named is exempt while the names of the
+similar orders are known, since its own shows whether it is a repeat. An order without an identity, which an older node
+sent, is exempt, too.
 
-The mechanism is specific to this project. The times are the leader's own, so the pattern is not seen across a change of
-leader. No I/O, no clock: times are ns of the leader's monotonic clock.
+The mechanism is specific to this project. No I/O, no clock: times are ns of the member's monotonic clock.
 """
 
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
 from .evacuation_claims import is_explicit
 from .events import OrderKind
-from .identifiers import DurationNs, TimeNs
+from .identifiers import SEC, DurationNs, TimeNs
+from .zone_order_history import MAX_ZONES, ZONE_ORDER_KINDS, ZoneOrder, ZoneOrderHistory, set_newest
 
-MAX_ZONES = 64
-Value = TypeVar("Value")
-OPPOSITE = {OrderKind.EVACUATE: OrderKind.RESTORE, OrderKind.RESTORE: OrderKind.EVACUATE}
-
-
-class ZoneOrder(NamedTuple):
-    """An order to evacuate or restore a zone, as far as it matters here. `identity`: 0 if it has none."""
-
-    kind: OrderKind
-    zone: str
-    identity: int
+COPY_WINDOW_NS = 60 * SEC  # from an order to the last copy of it; what relays requests ends them by then
 
 
 class Deferral(NamedTuple):
@@ -41,47 +33,38 @@
 
 
 class LateOrderDetector:
-    """The newest orders of both kinds on each zone, at one leader."""
+    """Decides at one leader which orders must be repeated, by what it knows of earlier ones."""
 
-    def __init__(self, window: DurationNs) -> None:
-        """`window`: how long after an order was accepted a copy of it may arrive."""
-        self._window = window
-        self._accepted_at: dict[tuple[str, OrderKind], TimeNs] = {}
-        self._unnamed_at: dict[tuple[str, OrderKind], TimeNs] = {}  # of orders that their callers did not name
+    def __init__(self, history: ZoneOrderHistory, repeats_within: DurationNs) -> None:
+        """`history`: of this leader alone; `repeats_within`: how long after an order its caller may repeat it."""
+        self._history = history
+        self._repeats_within = repeats_within
         self._deferred: dict[tuple[str, OrderKind], Deferral] = {}
 
-    def must_be_repeated(self, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether an order that would change its zone is carried out only if it is given once more."""
-        if not order.identity or is_explicit(order.identity) or not self._may_be_late_copy(order, now):
+    def is_known_repeat(self, order: ZoneOrder) -> bool:
+        """Whether an order with this identity was accepted before."""
+        return self._history.has(order)
+
+    def may_be_late_copy(self, order: ZoneOrder, now: TimeNs) -> bool:
+        """Whether a similar order was accepted so recently that this one may be a copy of it."""
+        if not order.identity:
             return False
+        previous = self._history.last_similar(order)
+        return previous is not None and now - previous <= COPY_WINDOW_NS
+
+    def must_be_repeated(self, order: ZoneOrder, now: TimeNs) -> bool:
+        """Whether an order that may be a late copy, and would have an effect, is carried out only if given again."""
         key = order.zone, order.kind
         deferral = self._deferred.get(key)
-        if deferral is None or now - deferral.at > self._window:
-            _set_newest(self._deferred, key, Deferral(order.identity, now))
+        if deferral is None or now - deferral.at > self._repeats_within:
+            set_newest(self._deferred, key, Deferral(order.identity, now), len(ZONE_ORDER_KINDS) * MAX_ZONES)
             return True
-        return deferral.identity == order.identity
-
-    def _may_be_late_copy(self, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether it repeats the order before the newest one on its zone, soon after that."""
-        previous = self._unnamed_at.get((order.zone, order.kind))
-        newest = self._accepted_at.get((order.zone, OPPOSITE[order.kind]))
-        if previous is None or newest is None or now - previous > self._window:
-            return False
-        return previous < newest
+        # Each attempt has an identity of its own, unless the caller supplied it: then the submitting node's request
+        # number tells the attempts apart (`node/order_table.py`).
+        return deferral.identity == order.identity and not is_explicit(order.identity)
 
     def note_accepted(self, order: ZoneOrder, now: TimeNs) -> None:
         """Records an order that was accepted, whether it changed the zone or not."""
-        for kind in OPPOSITE:
+        for kind in ZONE_ORDER_KINDS:
             self._deferred.pop((order.zone, kind), None)
-        key = order.zone, order.kind
-        _set_newest(self._accepted_at, key, now)
-        if not is_explicit(order.identity):
-            _set_newest(self._unnamed_at, key, now)
-
-
-def _set_newest(table: dict[tuple[str, OrderKind], Value], key: tuple[str, OrderKind], value: Value) -> None:
-    """Sets a row of a table, and removes the oldest one if there are too many."""
-    table.pop(key, None)
-    if len(table) >= len(OPPOSITE) * MAX_ZONES:
-        del table[next(iter(table))]
-    table[key] = value
+        self._history.note(order, now)
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -37,6 +37,7 @@
 from .repeat_window import RepeatWindow, retry_window
 from .replication import Replication
 from .state import State, StateChanges
+from .zone_order_history import ZoneOrderHistory
 
 BOOTSTRAP_WAIT_NS = 5 * SEC  # how long an empty core waits for more members before it accepts orders
 
@@ -69,10 +70,17 @@
         repeats_within = context.settings.order_repeat_ns
         repeat_window = RepeatWindow(context.now, repeats_within)
         self._orders = OrderQueue(context, persistent)
-        self._application = OrderApplication(repeat_window, LateOrderDetector(retry_window(repeats_within)))
+        detector = LateOrderDetector(self._known_zone_orders(), retry_window(repeats_within))
+        self._application = OrderApplication(repeat_window, detector)
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
 
+    def _known_zone_orders(self) -> ZoneOrderHistory:
+        """Returns the orders of earlier leaders, with those of the existing entry, which is not committed yet."""
+        history = self.persistent.zone_orders.copy()
+        history.observe(self.persistent.committed, self._entry(), self.context.now)
+        return history
+
     # Status.
 
     @property
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -14,13 +14,14 @@
 from rampfront.terms import slotted
 
 from .evacuation_claims import IDENTITY_LIMIT
-from .evacuations import ZoneChange, evacuate, note_delivered, note_lost, reopen, restore
+from .evacuations import ZoneChange, evacuate, has_lost_claim, note_delivered, note_lost, reopen, restore
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
-from .late_orders import LateOrderDetector, ZoneOrder
+from .late_orders import LateOrderDetector
 from .repeat_window import RepeatWindow
 from .state import MAX_BODY_BYTES, MAX_NAMES, MAX_NUMBER, MAX_ZONE_CHARS, State
 from .version_history import content_digest
+from .zone_order_history import ZoneOrder
 
 MAX_EVACUATED_ZONES = MAX_NAMES // 2
 
@@ -143,7 +144,7 @@
     """Applies orders to states, on one leader."""
 
     def __init__(self, repeat_window: RepeatWindow, late_orders: LateOrderDetector) -> None:
-        """Both arguments hold the times at which this leader accepted the last orders on each zone."""
+        """Both arguments belong to one leader: they know the last orders on each zone."""
         self._repeat_window = repeat_window
         self._late_orders = late_orders
 
@@ -168,11 +169,11 @@
     def _apply_zone_order(self, state: State, order: PendingOrder, zone: str, now: TimeNs) -> ZoneChange:
         """Returns the zones after an order to evacuate or restore one."""
         zones, evacuations, window = state.evacuated_zones, state.evacuations, self._repeat_window
+        if self._late_orders.is_known_repeat(ZoneOrder(order.kind, zone, order.identity)):
+            return ZoneChange(zones, evacuations)
         if order.kind is OrderKind.EVACUATE:
             may_be_repeat = window.evacuation_may_be_repeat(evacuations, zone, order.identity, now)
             return evacuate(zones, evacuations, zone, may_be_repeat, order.identity)
-        if window.is_known_repeat(zone, order.identity):
-            return ZoneChange(zones, evacuations)
         may_be_repeat = window.restoration_may_be_repeat(zone, order.identity, now)
         return restore(zones, evacuations, zone, may_be_repeat)
 
@@ -202,11 +203,16 @@
             window.note_evacuation(change, now)
 
     def _must_be_repeated(self, state: State, order: PendingOrder, now: TimeNs) -> bool:
-        """Whether an order would change its zone, and may be a late copy of an earlier one."""
+        """Whether an order may be a late copy of an earlier one, and would change who keeps its zone evacuated."""
         zone = order.change
-        if not isinstance(zone, str) or (zone in state.evacuated_zones) is (order.kind is OrderKind.EVACUATE):
+        if not isinstance(zone, str):
+            return False
+        zone_order = ZoneOrder(order.kind, zone, order.identity)
+        if not self._late_orders.may_be_late_copy(zone_order, now) or self.apply(state, order, now) is state:
             return False
-        return self._late_orders.must_be_repeated(ZoneOrder(order.kind, zone, order.identity), now)
+        if order.kind is OrderKind.EVACUATE and has_lost_claim(state.evacuations, zone):
+            return False  # it takes the place of an order whose caller does not rely on it
+        return self._late_orders.must_be_repeated(zone_order, now)
 
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -58,10 +58,6 @@
             return now - self._restoration_delivered_at[zone] <= IMMEDIATE_REPEAT_NS
         return now - self._restored_at.get(zone, self._began_at) <= self._window
 
-    def is_known_repeat(self, zone: str, identity: int) -> bool:
-        """Whether an order to restore a zone has the identity of the last restoration, and so is certainly a retry."""
-        return identity > 0 and self._last_restoration.get(zone) == identity
-
     def note_evacuation(self, zone: str, now: TimeNs) -> None:
         """Records that an order to evacuate a zone was accepted."""
         self._evacuated_at[zone] = now
--- /dev/null
+++ b/rampfront/consensus/zone_order_history.py
@@ -0,0 +1,114 @@
+"""The orders on zones that one member knows of: when they were accepted, and their identities.
+
+The leader records the orders that it accepts. In addition, every member derives orders from the states that it commits,
+so that a new leader knows what its predecessor accepted (`LateOrderDetector` needs it). A state shows the identity of
+an evacuation, as its claim, but not that of a restoration. A member does not know the orders before its process
+started, nor those between two states of which it has not seen the ones between.
+
+No I/O, no clock: times are ns of a monotonic clock.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeVar
+
+from .evacuation_claims import find, is_explicit
+from .evacuations import SINGLE_OPERATOR, Evacuation
+from .events import OrderKind
+from .identifiers import TimeNs
+from .state import State
+
+MAX_ZONES = 64
+MAX_IDENTITIES = 512
+ZONE_ORDER_KINDS = (OrderKind.EVACUATE, OrderKind.RESTORE)
+_NO_EVACUATION = Evacuation(operators=0)
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
+
+class ZoneOrder(NamedTuple):
+    """An order to evacuate or restore a zone. `identity`: 0 if it is not known."""
+
+    kind: OrderKind
+    zone: str
+    identity: int
+
+
+class ZoneOrderHistory:
+    """The newest orders of both kinds on each zone."""
+
+    def __init__(self, known_since: TimeNs | None = None) -> None:
+        """`known_since`: orders accepted earlier are not known; None: there were none."""
+        self._known_since = known_since
+        # The keys are (zone, kind). An order whose identity is not known counts as unnamed, too.
+        self._unnamed_at: dict[tuple[str, OrderKind], TimeNs] = {}  # without an identity from its caller
+        self._unidentified_at: dict[tuple[str, OrderKind], TimeNs] = {}
+        self._identities: dict[ZoneOrder, None] = {}  # oldest first
+
+    def copy(self) -> ZoneOrderHistory:
+        """Returns a copy, to which changes can be made that may never be committed."""
+        copied = ZoneOrderHistory(self._known_since)
+        copied._unnamed_at = self._unnamed_at.copy()
+        copied._unidentified_at = self._unidentified_at.copy()
+        copied._identities = self._identities.copy()
+        return copied
+
+    def has(self, order: ZoneOrder) -> bool:
+        """Whether an order with this identity is known, so that this is the same one."""
+        return order in self._identities
+
+    def last_similar(self, order: ZoneOrder) -> TimeNs | None:
+        """Returns when the last order was accepted that this one may be a copy of, or None if there is none.
+
+        A copy has the identity that the caller gave to the order, if it gave one. The returned time is the latest
+        possible one.
+        """
+        table = self._unidentified_at if is_explicit(order.identity) else self._unnamed_at
+        return table.get((order.zone, order.kind), self._known_since)
+
+    def note(self, order: ZoneOrder, now: TimeNs) -> None:
+        """Records an order that was accepted, whether it changed the zone or not."""
+        key = order.zone, order.kind
+        if not is_explicit(order.identity):
+            set_newest(self._unnamed_at, key, now, len(ZONE_ORDER_KINDS) * MAX_ZONES)
+        if order.identity:
+            set_newest(self._identities, order, None, MAX_IDENTITIES)
+        else:
+            set_newest(self._unidentified_at, key, now, len(ZONE_ORDER_KINDS) * MAX_ZONES)
+
+    def observe(self, before: State | None, after: State, now: TimeNs) -> None:
+        """Records the orders by which the state `before`, None at the start, became the state `after`."""
+        if before is None:
+            before = State(0, 0)
+        elif after.index > before.index + 1:
+            self._known_since = now
+        if (before.evacuated_zones, before.evacuations) == (after.evacuated_zones, after.evacuations):
+            return
+        for zone in sorted(before.evacuated_zones | after.evacuated_zones):
+            self._observe_zone(zone, _evacuation(before, zone), _evacuation(after, zone), now)
+
+    def _observe_zone(self, zone: str, before: Evacuation, after: Evacuation, now: TimeNs) -> None:
+        """Records the orders on one zone. A claim that has gone counts as one of a restoration."""
+        added = [claim for claim in after.claims if find(before.claims, claim.identity) is None]
+        has_lost_claim = any(find(after.claims, claim.identity) is None for claim in before.claims)
+        if has_lost_claim or after.operators < before.operators:
+            self.note(ZoneOrder(OrderKind.RESTORE, zone, 0), now)
+        for claim in added:
+            self.note(ZoneOrder(OrderKind.EVACUATE, zone, claim.identity), now)
+        if after.operators > before.operators and not added:
+            self.note(ZoneOrder(OrderKind.EVACUATE, zone, 0), now)
+
+
+def _evacuation(state: State, zone: str) -> Evacuation:
+    """Returns the evacuation of a zone; one without operators and claims if the zone is not evacuated."""
+    if zone not in state.evacuated_zones:
+        return _NO_EVACUATION
+    return state.evacuations.get(zone, SINGLE_OPERATOR)
+
+
+def set_newest(table: dict[Key, Value], key: Key, value: Value, size: int) -> None:
+    """Sets a row of a table as its newest one, and removes the oldest one if there would be more than `size`."""
+    table.pop(key, None)
+    if len(table) >= size:
+        del table[next(iter(table))]
+    table[key] = value
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -43,7 +43,7 @@
 )
 NEEDS_REPEAT = error_response(
     503,
-    "not carried out: may be a late copy of an earlier order, as the zone was changed meanwhile; send it again",
+    "not carried out: may be a late copy of an earlier order on the zone; send it again",
     ((b"Retry-After", b"0.3"),),
 )
 # By outcomes after which an order on a zone never takes effect.
--- a/rampfront/node/order_table.py
+++ b/rampfront/node/order_table.py
@@ -17,6 +17,7 @@
 MAX_IN_FLIGHT = 256
 MAX_ANSWERED = 1024  # the oldest answers are evicted first
 RETENTION_NS = 5 * SEC  # exceeds the submitters' timeout and the maximum delay of a datagram
+KEPT_OUTCOMES = frozenset((Outcome.DONE, Outcome.UNKNOWN, Outcome.NEEDS_REPEAT))
 ABANDONED_AFTER_NS = 10 * SEC  # the core answers each order within 2.5 s
 
 
@@ -86,12 +87,13 @@
         Returns the digest of its body, or None if it was not in flight, so that no answer is due.
 
         The outcome is kept if the order has taken effect or may have: a second execution could undo a later order, or
-        count twice. An order that was not accepted may be executed when it arrives again, and a read changes nothing.
+        count twice. So is that of an order that its caller must repeat, since the same request is no repeat. Any other
+        order that was not accepted may be executed when it arrives again, and a read changes nothing.
         """
         order = self.in_flight.pop(key, None)
         if order is None:
             return None
-        if order.kind != OrderKind.READ and outcome in (Outcome.DONE, Outcome.UNKNOWN):
+        if order.kind != OrderKind.READ and outcome in KEPT_OUTCOMES:
             if len(self.answered) >= MAX_ANSWERED:
                 oldest = next(iter(self.answered))
                 del self.answered[oldest]
