A retry of an evacuation that follows its answer at once is not answered 503

A program may lose an answer that its machine has acknowledged; it then repeats the order 0.12 to 0.18 s later.

Cause: the demand for a repeat did not exempt orders that count as retries of the last one. Change: an evacuation within 0.5 s of the last one, or of its answer, is taken as before. It counts as no certain operator, so a late copy there keeps the zone for one retry window more at most.

Measured: test_a_retry_that_follows_an_answer_at_once_is_not_delayed failed in both cases before, in none now.

--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -210,10 +210,17 @@
         zone_order = ZoneOrder(order.kind, zone, order.identity)
         if not self._late_orders.may_be_late_copy(zone_order, now) or self.apply(state, order, now) is state:
             return False
-        if order.kind is OrderKind.EVACUATE and has_lost_claim(state.evacuations, zone):
-            return False  # it takes the place of an order whose caller does not rely on it
+        if order.kind is OrderKind.EVACUATE and zone in state.evacuated_zones and self._is_retry(state, zone, now):
+            return False
         return self._late_orders.must_be_repeated(zone_order, now)
 
+    def _is_retry(self, state: State, zone: str, now: TimeNs) -> bool:
+        """Whether an order to evacuate a zone retries the last one, so that it counts as no further operator.
+
+        Demanding another attempt would delay a caller whose answer was lost, until its order counts as a new one.
+        """
+        return has_lost_claim(state.evacuations, zone) or self._repeat_window.follows_immediately(zone, now)
+
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
         state = entry
--- a/tests/consensus/test_late_orders.py
+++ b/tests/consensus/test_late_orders.py
@@ -116,9 +116,27 @@
     scene.report(LOST, ONE)
     scene.wait(1000)
     assert outcome_of(scene, EVACUATE, TWO) == Outcome.DONE
+    scene.wait(1000)
     assert outcome_of(scene, EVACUATE, THREE) == Outcome.NEEDS_REPEAT
 
 
+@pytest.mark.parametrize("is_delivered", [True, False])
+def test_a_retry_that_follows_an_answer_at_once_is_not_delayed(is_delivered: bool) -> None:
+    """A program may lose answers that its machine has acknowledged; if it had to wait, its order would count twice."""
+    scene = Scene()
+    scene.evacuate(ONE)
+    for identity in (TWO, THREE, FOUR):
+        if is_delivered:
+            scene.report(DELIVERED, identity - 1)
+        scene.wait(300)
+        assert outcome_of(scene, EVACUATE, identity) == Outcome.DONE
+    scene.report(DELIVERED, FOUR)
+    scene.wait(RETRY_WINDOW_MS)
+    assert scene.evacuation.operators == 1
+    scene.restore(FIVE)
+    assert scene.reopens_within(RETRY_WINDOW_MS)
+
+
 def test_a_second_late_copy_is_no_repeat_of_the_first_one() -> None:
     """A caller who waits repeats an order soon."""
     scene = evacuated_anew()
