The repeat of an order agrees in name with it, and counts by the time of the first attempt

And by reading: a retry that has to be repeated could come so late that it counted as a new order.

Change: a repeat agrees with its order in zone, kind and name. Exempt are only orders that add no operator, in place of a lost answer or within 0.5 s of a delivered one. What a repeated order counts as is decided by when its first attempt came.

--- a/rampfront/consensus/evacuations.py
+++ b/rampfront/consensus/evacuations.py
@@ -44,12 +44,17 @@
         """Whether the order with this identity is among the claims."""
         return bool(identity) and evacuation_claims.find(self.claims, identity) is not None
 
+    def has_lost_claim(self) -> bool:
+        """Whether the answer to an order that keeps the zone evacuated was lost, so that the next one replaces it."""
+        return bool(self.operators) and evacuation_claims.lost_claim(self.claims) is not None
+
     def is_single_operator(self) -> bool:
         """Whether exactly one operator evacuated the zone and no repeated or restoring order was seen."""
         return (self.operators, self.repeated, self.returned) == (1, False, False)
 
 
 SINGLE_OPERATOR = Evacuation()
+NOT_EVACUATED = Evacuation(operators=0)
 EvacuationTable: TypeAlias = Mapping[
     str, Evacuation
 ]  # by zone; evacuated zones equal to `SINGLE_OPERATOR` may be absent
@@ -148,12 +153,6 @@
     return ZoneChange(zones, _updated(evacuations, zone, after))
 
 
-def has_lost_claim(evacuations: EvacuationTable, zone: str) -> bool:
-    """Whether the answer to an order that keeps the zone evacuated was lost, so that the next one replaces it."""
-    evacuation = evacuations.get(zone, SINGLE_OPERATOR)
-    return bool(evacuation.operators) and evacuation_claims.lost_claim(evacuation.claims) is not None
-
-
 def _updated(evacuations: EvacuationTable, zone: str, after: Evacuation) -> EvacuationTable:
     """Returns the table with one zone set to `after`; the same object if nothing changes."""
     if evacuations.get(zone, SINGLE_OPERATOR) == after:
--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -25,6 +25,14 @@
 COPY_WINDOW_NS = 60 * SEC  # from an order to the last copy of it; what relays requests ends them by then
 
 
+class Demand(NamedTuple):
+    """What an order must agree in with the one that it repeats. `name`: the identity that the caller gave it, or 0."""
+
+    zone: str
+    kind: OrderKind
+    name: int
+
+
 class Deferral(NamedTuple):
     """The first of two orders that were demanded: its identity, and when it arrived."""
 
@@ -39,7 +47,7 @@
         """`history`: of this leader alone; `repeats_within`: how long after an order its caller may repeat it."""
         self._history = history
         self._repeats_within = repeats_within
-        self._deferred: dict[tuple[str, OrderKind], Deferral] = {}
+        self._deferred: dict[Demand, Deferral] = {}
 
     def is_known_repeat(self, order: ZoneOrder) -> bool:
         """Whether an order with this identity was accepted before."""
@@ -54,17 +62,34 @@
 
     def must_be_repeated(self, order: ZoneOrder, now: TimeNs) -> bool:
         """Whether an order that may be a late copy, and would have an effect, is carried out only if given again."""
-        key = order.zone, order.kind
-        deferral = self._deferred.get(key)
-        if deferral is None or now - deferral.at > self._repeats_within:
-            set_newest(self._deferred, key, Deferral(order.identity, now), len(ZONE_ORDER_KINDS) * MAX_ZONES)
+        deferral = self._deferral(order, now)
+        if deferral is None:
+            row = Deferral(order.identity, now)
+            set_newest(self._deferred, _demand(order), row, len(ZONE_ORDER_KINDS) * MAX_ZONES)
             return True
         # Each attempt has an identity of its own, unless the caller supplied it: then the submitting node's request
         # number tells the attempts apart (`node/order_table.py`).
         return deferral.identity == order.identity and not is_explicit(order.identity)
 
+    def first_attempt_at(self, order: ZoneOrder, now: TimeNs) -> TimeNs:
+        """Returns when the attempt arrived that this one repeats, or `now` if it is the first one.
+
+        What an order counts as depends on when its caller first gave it: the demand for a repeat must not change that.
+        """
+        deferral = self._deferral(order, now)
+        return now if deferral is None else deferral.at
+
+    def _deferral(self, order: ZoneOrder, now: TimeNs) -> Deferral | None:
+        """Returns the attempt that this one may repeat."""
+        deferral = self._deferred.get(_demand(order))
+        return None if deferral is None or now - deferral.at > self._repeats_within else deferral
+
     def note_accepted(self, order: ZoneOrder, now: TimeNs) -> None:
         """Records an order that was accepted, whether it changed the zone or not."""
-        for kind in ZONE_ORDER_KINDS:
-            self._deferred.pop((order.zone, kind), None)
+        for demand in [demand for demand in self._deferred if demand.zone == order.zone]:
+            del self._deferred[demand]
         self._history.note(order, now)
+
+
+def _demand(order: ZoneOrder) -> Demand:
+    return Demand(order.zone, order.kind, order.identity if is_explicit(order.identity) else 0)
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -14,7 +14,7 @@
 from rampfront.terms import slotted
 
 from .evacuation_claims import IDENTITY_LIMIT
-from .evacuations import ZoneChange, evacuate, has_lost_claim, note_delivered, note_lost, reopen, restore
+from .evacuations import ZoneChange, evacuate, note_delivered, note_lost, reopen, restore
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
 from .late_orders import LateOrderDetector
@@ -156,7 +156,10 @@
         return Outcome.DONE
 
     def apply(self, state: State, order: PendingOrder, now: TimeNs) -> State:
-        """Returns the state after an order; the same object if the order changes nothing."""
+        """Returns the state after an order; the same object if the order changes nothing.
+
+        An order that repeats an attempt, as was demanded, has the effect that it would have had then.
+        """
         change = order.change
         if isinstance(change, Configuration):
             return _with_configuration(state, change)
@@ -168,13 +171,16 @@
 
     def _apply_zone_order(self, state: State, order: PendingOrder, zone: str, now: TimeNs) -> ZoneChange:
         """Returns the zones after an order to evacuate or restore one."""
-        zones, evacuations, window = state.evacuated_zones, state.evacuations, self._repeat_window
-        if self._late_orders.is_known_repeat(ZoneOrder(order.kind, zone, order.identity)):
+        zones, evacuations = state.evacuated_zones, state.evacuations
+        window = self._repeat_window
+        zone_order = ZoneOrder(order.kind, zone, order.identity)
+        if self._late_orders.is_known_repeat(zone_order):
             return ZoneChange(zones, evacuations)
+        given_at = self._late_orders.first_attempt_at(zone_order, now)
         if order.kind is OrderKind.EVACUATE:
-            may_be_repeat = window.evacuation_may_be_repeat(evacuations, zone, order.identity, now)
+            may_be_repeat = window.evacuation_may_be_repeat(evacuations, zone, order.identity, given_at)
             return evacuate(zones, evacuations, zone, may_be_repeat, order.identity)
-        may_be_repeat = window.restoration_may_be_repeat(zone, order.identity, now)
+        may_be_repeat = window.restoration_may_be_repeat(zone, order.identity, given_at)
         return restore(zones, evacuations, zone, may_be_repeat)
 
     def _apply_report(self, state: State, kind: OrderKind, report: AnswerReport, now: TimeNs) -> ZoneChange:
@@ -208,18 +214,22 @@
         if not isinstance(zone, str):
             return False
         zone_order = ZoneOrder(order.kind, zone, order.identity)
-        if not self._late_orders.may_be_late_copy(zone_order, now) or self.apply(state, order, now) is state:
+        if not self._late_orders.may_be_late_copy(zone_order, now):
             return False
-        if order.kind is OrderKind.EVACUATE and zone in state.evacuated_zones and self._is_retry(state, zone, now):
+        after = self.apply(state, order, now)
+        if after is state or self._is_retry(state, after, zone, now):
             return False
         return self._late_orders.must_be_repeated(zone_order, now)
 
-    def _is_retry(self, state: State, zone: str, now: TimeNs) -> bool:
-        """Whether an order to evacuate a zone retries the last one, so that it counts as no further operator.
+    def _is_retry(self, before: State, after: State, zone: str, now: TimeNs) -> bool:
+        """Whether an order, which changes `before` to `after`, is taken for a retry of the last evacuation of the zone.
 
         Demanding another attempt would delay a caller whose answer was lost, until its order counts as a new one.
         """
-        return has_lost_claim(state.evacuations, zone) or self._repeat_window.follows_immediately(zone, now)
+        evacuation = before.evacuation_of(zone)
+        if not evacuation.operators or after.evacuation_of(zone).operators != evacuation.operators:
+            return False
+        return evacuation.has_lost_claim() or self._repeat_window.was_delivered_recently(zone, now)
 
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -45,11 +45,10 @@
             return now - self._evacuation_delivered_at.get(zone, self._began_at) <= IMMEDIATE_REPEAT_NS
         return now - self._evacuated_at.get(zone, self._began_at) <= self._window
 
-    def follows_immediately(self, zone: str, now: TimeNs) -> bool:
-        """Whether the last order to evacuate a zone, or its answer, is so recent that an order now may retry it."""
-        accepted_at = self._evacuated_at.get(zone, self._began_at)
-        delivered_at = self._evacuation_delivered_at.get(zone, accepted_at)
-        return now - max(accepted_at, delivered_at) <= IMMEDIATE_REPEAT_NS
+    def was_delivered_recently(self, zone: str, now: TimeNs) -> bool:
+        """Whether the last answer to an evacuation was delivered so recently that a program may retry the order."""
+        delivered_at = self._evacuation_delivered_at.get(zone)
+        return delivered_at is not None and now - delivered_at <= IMMEDIATE_REPEAT_NS
 
     def was_evacuated_recently(self, zone: str, now: TimeNs) -> bool:
         """Whether the last evacuation order is so recent that it may retry an order whose delivery is reported now."""
--- a/rampfront/consensus/state.py
+++ b/rampfront/consensus/state.py
@@ -12,7 +12,16 @@
 
 from .errors import RemoteProtocolError
 from .evacuation_claims import decode_claims, encode_claims
-from .evacuations import EvacuationTable, claim_table, decode_evacuations, encode_evacuations, with_claims
+from .evacuations import (
+    NOT_EVACUATED,
+    SINGLE_OPERATOR,
+    Evacuation,
+    EvacuationTable,
+    claim_table,
+    decode_evacuations,
+    encode_evacuations,
+    with_claims,
+)
 from .identifiers import LogIndex, LogPosition, MemberAddress, MemberList, Term
 from .version_history import VersionHistory, content_digest
 
@@ -73,6 +82,12 @@
         """Position of the entry in the log."""
         return LogPosition(self.term, self.index)
 
+    def evacuation_of(self, zone: str) -> Evacuation:
+        """Returns the evacuation of a zone; one without operators and claims if the zone is not evacuated."""
+        if zone not in self.evacuated_zones:
+            return NOT_EVACUATED
+        return self.evacuations.get(zone, SINGLE_OPERATOR)
+
     def next_entry(self, **changes: Unpack[StateChanges]) -> "State":
         """Returns the entry that follows this one, with the given changes."""
         if "body" in changes:
