Each answer of the Control address closes its connection, so that no order comes on an idle one

Seen by callers: an operator who keeps a connection to each node had his order on a zone rejected by each node in turn, as an order behind a gap of over 0.3 s has no known age: 5 attempts with 4 nodes (0.84 s with pauses of 0.2 s), and one more for each node of a larger fleet.

Cause: the bound on the age of an order needs a new connection, and nothing told callers so before they were rejected. Change: the listener of operators' calls takes one call a connection. An answer is then known to be read as soon as its caller closes, not at the next call. The fake connection of test_second_operator has the end of a stream, and delivers what was written before a close. The soak goes on using two of ten connections until they are gone.

--- a/rampfront/lab/system/zone_calls.py
+++ b/rampfront/lab/system/zone_calls.py
@@ -25,7 +25,7 @@
 _DELAYED_SHARE = 0.15  # of the attempts that the network delays
 _MIN_DELAY_S, _MAX_DELAY_S = 1.2, 9.0
 _END_BEHIND_S = 0.003  # the end of a stream arrives so long behind delayed bytes
-_KEPT_SHARE = 0.7  # of the connections that are kept for the next call after an answer
+_KEPT_SHARE = 0.2  # of the connections that are used for the next call, although the node ends them behind an answer
 _RELAYED_SHARE = 0.6  # of the orders of which a relay holds an attempt, and delivers it behind the acknowledgement
 _MIN_RELAY_S, _MAX_RELAY_S = 0.2, 15.0  # for which it does
 _RELAY_PAUSE_S = 8.0  # between two relayed attempts of a zone: within 7 s the second one counts as the caller's repeat
@@ -55,14 +55,13 @@
 
 
 class Answer(NamedTuple):
-    """A complete answer. `closes`: whether the node closes the connection behind it."""
+    """A complete answer."""
 
     status: int
     body: bytes
-    closes: bool
 
 
-NO_ANSWER = Answer(0, b"", True)
+NO_ANSWER = Answer(0, b"")
 
 
 class Route(Enum):
@@ -137,7 +136,7 @@
     async def call(self, node: Node, call: Call) -> Answer:
         """Sends a call, and returns its answer, or `NO_ANSWER` for none in time.
 
-        A connection that was kept is used again, if its node has not closed it.
+        A connection that was kept is used again, until it is gone.
         """
         reader, writer = self._kept.pop(node.name, (None, None))
         try:
@@ -150,7 +149,7 @@
             if writer is not None:
                 self._depart(writer)
             return NO_ANSWER
-        if answer.closes or self._rng.random() > _KEPT_SHARE:
+        if self._rng.random() > _KEPT_SHARE:
             writer.close()
         else:
             self._keep(node, reader, writer)
@@ -216,7 +215,7 @@
 async def _read_answer(reader: asyncio.StreamReader) -> Answer:
     head = await reader.readuntil(b"\r\n\r\n")
     body = await reader.readexactly(_content_length(head))
-    return Answer(int(head.split(b" ", 2)[1]), body, b"\r\nconnection: close\r\n" in head.lower())
+    return Answer(int(head.split(b" ", 2)[1]), body)
 
 
 def _content_length(head: bytes) -> int:
--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -11,6 +11,7 @@
 from ..net.http_messages import Response, error_response
 from ..net.http_routing import endpoint
 from ..net.http_server import HttpServer
+from ..net.limits import HttpServerLimits
 from . import log_events
 from .answer_reports import AnswerReports
 from .control_calls import ControlCalls
@@ -72,7 +73,11 @@
 
 
 async def open_call_listeners(node: NodeProcess) -> None:
-    """Open a listener for each address of calls in the settings. Handlers of one address share its listener."""
+    """Open a listener for each address of calls in the settings. Handlers of one address share its listener.
+
+    That of operators takes one call a connection: an order on a connection that was idle has no known age, so that it
+    would have to be rejected (`order_submitter.py`).
+    """
     context = node.context
     settings = context.process_settings
     handlers_at: dict[tuple[str, int], list[object]] = {}
@@ -87,6 +92,7 @@
             handlers_at.setdefault(address, []).append(handler)
     faults = CallFaults(context)
     for (host, port), handlers in handlers_at.items():
-        listener = HttpServer(context.loop, context.clock, handlers, on_fault=faults.note)
+        limits = HttpServerLimits(keep_alive=(host, port) != settings.control)
+        listener = HttpServer(context.loop, context.clock, handlers, limits, on_fault=faults.note)
         await listener.listen(host, port)
         node.shutdown.listeners.add(listener)
--- a/tests/node/test_given_up_orders.py
+++ b/tests/node/test_given_up_orders.py
@@ -181,6 +181,13 @@
     assert not any(system.evacuated_at())
 
 
+def test_an_answer_to_an_operator_closes_the_connection(system: System) -> None:
+    """Guards against orders that every node rejects, as the age of an order on an idle connection is not known."""
+    connection = system.call(WITHOUT_DISK, "state.read")
+    system.wait(100 * MS)
+    assert connection.closed and b"\r\nConnection: close\r\n" in connection.received
+
+
 class WaitingCaller:
     """A caller as the order's submitter sees it."""
 
--- a/tests/node/test_second_operator.py
+++ b/tests/node/test_second_operator.py
@@ -40,7 +40,7 @@
         """`lost`: the connection is reset before the answer is written (BEFORE) or before it is read (ON_ITS_WAY);
         None: the caller reads the whole answer."""
         self.system, self.machine, self.received, self.closed = system, machine, b"", False
-        self.lost = lost
+        self.lost, self.is_reset = lost, False
         self.protocol = system.listeners[machine]()
         self.protocol.connection_made(self)
         system.call_later(MS, self.machine, self.protocol.data_received, request)
@@ -59,14 +59,14 @@
     def reset(self) -> None:
         """Reset the connection; data in transit is lost."""
         if not self.closed:
-            self.closed = True
+            self.closed = self.is_reset = True
             self.protocol.connection_lost(ConnectionResetError())
 
     def receive(self, data: bytes) -> None:
         """Deliver bytes to the caller, who closes the connection after the whole answer."""
         if self.lost == ON_ITS_WAY:
             self.reset()
-        if not self.closed:
+        if not self.is_reset:
             self.received += data
             if self.answer is not None:
                 self.system.call_later(MS, self.machine, self.end)
@@ -84,7 +84,7 @@
             self.system.fleet.at(self.system.fleet.now + MS, self.receive, bytes(data))
 
     def close(self) -> None:
-        """Close the connection without an error."""
+        """Close the connection without an error; what was written reaches the caller."""
         if not self.closed:
             self.closed = True
             self.protocol.connection_lost(None)
@@ -95,6 +95,14 @@
         """Return the caller's address."""
         return ("10.250.0.1", 40000 + id(self) % 20000) if name == "peername" else None
 
+    @staticmethod
+    def can_write_eof() -> bool:
+        """Return that the node's stream can be ended."""
+        return True
+
+    def write_eof(self) -> None:
+        """End the node's stream; the caller closes the connection behind the answer anyway."""
+
     @staticmethod
     def get_write_buffer_size() -> int:
         """Return 0: all data has been passed to the kernel."""
