--- a/rampfront/consensus/__init__.py
+++ b/rampfront/consensus/__init__.py
@@ -25,7 +25,7 @@
 4. Leader election: `election.py`, `electorate.py`, `leader_discovery.py`.
 5. Follower: `entry_receiver.py`, with `body_history.py`.
 6. Leader: `leader.py` and its components `heartbeat_rounds.py`, `replication.py` (with `replica_progress.py`),
-   `order_queue.py`, `order_application.py` (with `repeat_window.py`), `membership_change.py`,
-   `leadership_transfer.py`, `core_strength.py`.
+   `order_queue.py`, `order_application.py` (with `repeat_window.py`, `late_orders.py`, `zone_order_history.py`),
+   `membership_change.py`, `leadership_transfer.py`, `core_strength.py`.
 7. Wire format: `wire_names.py`, `frame_decoder.py`, `frame_encoder.py`.
 """
--- a/tests/consensus/test_core_schedules.py
+++ b/tests/consensus/test_core_schedules.py
@@ -14,7 +14,8 @@
 def test_schedules_of_two():
     """Schedules with one lost disk in a core of two, which is too small to guarantee surviving it.
 
-    Seed 5 is left out: a member loses its disk just before the end while the list names both, so no majority is left.
+    Seed 5 is left out: a member loses its disk behind an exchange of seeds, and the new ones name itself and an address
+    without a machine, so that its new incarnation finds nobody to ask to join.
     """
     for seed in (1, 2, 3, 4, *range(6, 14)):
         run = Run(seed, 2)
