Whole nodes: an attempt that a relay delivers late changes nothing, at any node and behind a change of leader

Cause: the tests of late copies were of the core alone. Change: 12 cases of test_given_up_orders.py: an evacuation or a return, at a node without a disk, a follower and the leader, with the leader of before or another one. Each also shows that the only operator's return opens the zone.

--- a/tests/node/test_given_up_orders.py
+++ b/tests/node/test_given_up_orders.py
@@ -181,6 +181,34 @@
     assert not any(system.evacuated_at())
 
 
+@pytest.mark.parametrize("new_leader", [False, True], ids=["same leader", "another leader"])
+@pytest.mark.parametrize("which", [WITHOUT_DISK, FOLLOWER, "leader"])
+@pytest.mark.parametrize("name", ["empty.finish", "empty.start"])
+def test_an_attempt_that_a_relay_delivers_late_changes_nothing(
+    system: System, name: str, which: object, new_leader: bool
+) -> None:
+    """It comes on a connection of its own that stays open, at a node that cannot tell it from a new order."""
+    acknowledged(system, WITHOUT_DISK, "empty.start")
+    if name == "empty.finish":
+        system.wait(8 * SEC)
+        acknowledged(system, WITHOUT_DISK, "empty.finish")
+        system.wait(SEC)
+        acknowledged(system, WITHOUT_DISK, "empty.start")
+    system.wait(2 * SEC)
+    if new_leader:
+        leader = system.fleet.machines[node_number(system, "leader")]
+        system.fleet.freeze(leader)
+        system.fleet.at(system.fleet.now + FROZEN, system.fleet.thaw, leader, leader.life)
+        system.wait(FROZEN + SEC)
+        assert leader is not system.fleet.machines[node_number(system, "leader")]
+    system.call(node_number(system, which), name)
+    system.wait(8 * SEC)
+    assert all(system.evacuated_at())
+    acknowledged(system, WITHOUT_DISK, "empty.finish")
+    system.wait(APPLIED)
+    assert not any(system.evacuated_at())
+
+
 def test_an_answer_to_an_operator_closes_the_connection(system: System) -> None:
     """Guards against orders that every node rejects, as the age of an order on an idle connection is not known."""
     connection = system.call(WITHOUT_DISK, "state.read")
