An evacuation with a known name is acknowledged only if it is in force; names count for a minute

An evacuation whose Idempotency-Key was known got 200 without effect if it had been taken back meanwhile: a caller whose answer was lost, or a script with one key for all orders, was told that a zone is evacuated which is open. A return with a key of before changed nothing for as long as the key was known.

Cause: a known name was taken for a copy whatever had become of its order. Change: names count for 60 s, as times do. Within that a return with a known name changes nothing, as before. An evacuation with one is known by its claim while it is in force; else it is answered 503 and carried out if it is given again, like one without a name.

Measured: test_a_named_evacuation_that_was_ended_is_acknowledged_only_if_it_is_in_force fails in both cases on the code before and passes now; tests/consensus and tests/node: 546 passed. Pins unchanged.

--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -9,8 +9,9 @@
 If such an order would change who keeps the zone evacuated, it is carried out only if it is given once more: a caller
 who waits repeats an order that was not carried out, and one who has gone does not. So neither is a late copy carried
 out, nor is the order of an operator who waits ignored. An order that its caller named is exempt while the names of the
-similar orders are known, since its own shows whether it is a repeat. An order without an identity, which an older node
-sent, is exempt, too.
+similar orders are known and differ, since its own shows whether it is a repeat. A restoration with the same name
+changes nothing; an evacuation with the same name is in force, or was ended: then its caller must not be told that it
+is. An order without an identity, which an older node sent, is exempt, too.
 
 The mechanism is specific to this project. No I/O, no clock: times are ns of the member's monotonic clock.
 """
@@ -49,9 +50,10 @@
         self._repeats_within = repeats_within
         self._deferred: dict[Demand, Deferral] = {}
 
-    def is_known_repeat(self, order: ZoneOrder) -> bool:
-        """Whether an order with this identity was accepted before."""
-        return self._history.has(order)
+    def is_known_repeat(self, order: ZoneOrder, now: TimeNs) -> bool:
+        """Whether an order with this identity was accepted recently."""
+        accepted_at = self._history.accepted_at(order)
+        return accepted_at is not None and now - accepted_at <= COPY_WINDOW_NS
 
     def may_be_late_copy(self, order: ZoneOrder, now: TimeNs) -> bool:
         """Whether a similar order was accepted so recently that this one may be a copy of it."""
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -174,12 +174,12 @@
         zones, evacuations = state.evacuated_zones, state.evacuations
         window = self._repeat_window
         zone_order = ZoneOrder(order.kind, zone, order.identity)
-        if self._late_orders.is_known_repeat(zone_order):
-            return ZoneChange(zones, evacuations)
         given_at = self._late_orders.first_attempt_at(zone_order, now)
         if order.kind is OrderKind.EVACUATE:
             may_be_repeat = window.evacuation_may_be_repeat(evacuations, zone, order.identity, given_at)
             return evacuate(zones, evacuations, zone, may_be_repeat, order.identity)
+        if self._late_orders.is_known_repeat(zone_order, now):
+            return ZoneChange(zones, evacuations)
         may_be_repeat = window.restoration_may_be_repeat(zone, order.identity, given_at)
         return restore(zones, evacuations, zone, may_be_repeat)
 
--- a/rampfront/consensus/zone_order_history.py
+++ b/rampfront/consensus/zone_order_history.py
@@ -42,19 +42,19 @@
         # The keys are (zone, kind). An order whose identity is not known counts as unnamed, too.
         self._unnamed_at: dict[tuple[str, OrderKind], TimeNs] = {}  # without an identity from its caller
         self._unidentified_at: dict[tuple[str, OrderKind], TimeNs] = {}
-        self._identities: dict[ZoneOrder, None] = {}  # oldest first
+        self._identified_at: dict[ZoneOrder, TimeNs] = {}
 
     def copy(self) -> ZoneOrderHistory:
         """Returns a copy, to which changes can be made that may never be committed."""
         copied = ZoneOrderHistory(self._known_since)
         copied._unnamed_at = self._unnamed_at.copy()
         copied._unidentified_at = self._unidentified_at.copy()
-        copied._identities = self._identities.copy()
+        copied._identified_at = self._identified_at.copy()
         return copied
 
-    def has(self, order: ZoneOrder) -> bool:
-        """Whether an order with this identity is known, so that this is the same one."""
-        return order in self._identities
+    def accepted_at(self, order: ZoneOrder) -> TimeNs | None:
+        """Returns when the order with this identity was last accepted, or None if that is not known."""
+        return self._identified_at.get(order)
 
     def last_similar(self, order: ZoneOrder) -> TimeNs | None:
         """Returns when the last order was accepted that this one may be a copy of, or None if there is none.
@@ -63,7 +63,8 @@
         possible one.
         """
         table = self._unidentified_at if is_explicit(order.identity) else self._unnamed_at
-        return table.get((order.zone, order.kind), self._known_since)
+        times = table.get((order.zone, order.kind), self._known_since), self.accepted_at(order)
+        return max((time for time in times if time is not None), default=None)
 
     def note(self, order: ZoneOrder, now: TimeNs) -> None:
         """Records an order that was accepted, whether it changed the zone or not."""
@@ -71,7 +72,7 @@
         if not is_explicit(order.identity):
             set_newest(self._unnamed_at, key, now, len(ZONE_ORDER_KINDS) * MAX_ZONES)
         if order.identity:
-            set_newest(self._identities, order, None, MAX_IDENTITIES)
+            set_newest(self._identified_at, order, now, MAX_IDENTITIES)
         else:
             set_newest(self._unidentified_at, key, now, len(ZONE_ORDER_KINDS) * MAX_ZONES)
 
--- a/tests/consensus/test_late_orders.py
+++ b/tests/consensus/test_late_orders.py
@@ -189,11 +189,7 @@
     else:
         scene.change_leader()
     copied = name + (ONE if kind is EVACUATE else TWO) if name else SIX
-    # The next leader knows the name of an evacuation that it has seen, so it takes the copy for what it is.
-    if kind is EVACUATE and name and not restarted:
-        scene.submit(kind, copied)
-    else:
-        assert outcome_of(scene, kind, copied) == Outcome.NEEDS_REPEAT
+    assert outcome_of(scene, kind, copied) == Outcome.NEEDS_REPEAT
     assert scene.is_evacuated is (kind is RESTORE)
     scene.submit(kind, name + FOUR)
     assert scene.is_evacuated is (kind is EVACUATE)
@@ -207,10 +203,27 @@
         scene.submit(earlier, EXPLICIT + identity)
         scene.wait(500)
     for copied in (ONE, THREE) if kind is EVACUATE else (TWO, FOUR):
-        scene.submit(kind, EXPLICIT + copied)
+        if kind is EVACUATE:
+            assert outcome_of(scene, kind, EXPLICIT + copied) == Outcome.NEEDS_REPEAT
+        else:
+            scene.submit(kind, EXPLICIT + copied)
         assert scene.is_evacuated is (kind is RESTORE)
 
 
+@pytest.mark.parametrize("after_ms", [1000, COPY_WINDOW_MS])
+def test_a_named_evacuation_that_was_ended_is_acknowledged_only_if_it_is_in_force(after_ms: int) -> None:
+    """Its caller may wait for an answer that was lost, or use one name for all orders."""
+    scene = Scene()
+    scene.evacuate(EXPLICIT + ONE)
+    scene.restore(EXPLICIT + TWO)
+    scene.wait(after_ms)
+    scene.evacuate(EXPLICIT + ONE)
+    assert scene.is_evacuated
+    scene.wait(COPY_WINDOW_MS)
+    scene.restore(EXPLICIT + TWO)
+    assert not scene.is_evacuated
+
+
 @pytest.mark.parametrize("copied", [SIX, EXPLICIT + SIX])
 def test_a_late_copy_is_no_repeat_of_an_order_with_another_name(copied: int) -> None:
     """The caller of a named order is told to repeat it; a copy of an earlier order arrives before it does."""
@@ -278,7 +291,7 @@
         ):
             detector.note_accepted(order, number)
             detector.must_be_repeated(order, number)
-    tables = history._unnamed_at, history._unidentified_at, detector._deferred, history._identities
+    tables = history._unnamed_at, history._unidentified_at, detector._deferred, history._identified_at
     assert [len(table) for table in tables] == [2 * MAX_ZONES, 2 * MAX_ZONES, 2 * MAX_ZONES, MAX_IDENTITIES]
 
 
@@ -297,5 +310,5 @@
     history, order = ZoneOrderHistory(), ZoneOrder(EVACUATE, ZONE, 7)
     copied = history.copy()
     copied.note(order, 10)
-    assert copied.has(order) and copied.last_similar(order) == 10
-    assert not history.has(order) and history.last_similar(order) is None
+    assert copied.accepted_at(order) == copied.last_similar(order) == 10
+    assert history.accepted_at(order) is history.last_similar(order) is None
