The leader's bounded tables share one function; a claim that has gone is not called lost

Cause: note_restoration repeated what set_newest does; a variable of the history was called has_lost_claim, which elsewhere says that an answer was lost. Change: one call, one name. Behaviour is as before.

--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -10,6 +10,7 @@
 from .evacuation_claims import Delivery, is_explicit, last_counted
 from .evacuations import SINGLE_OPERATOR, EvacuationTable
 from .identifiers import MS, SEC, DurationNs, TimeNs
+from .zone_order_history import set_newest
 
 DEFAULT_REPEAT_NS = 6 * SEC  # how long callers retry an order, unless the settings say otherwise
 IN_FLIGHT_NS = SEC  # how long an order may be in transit to the leader
@@ -72,10 +73,7 @@
         """Records that an order to restore a zone was accepted."""
         self._restored_at[zone] = now
         self._restoration_delivered_at.pop(zone, None)
-        self._last_restoration.pop(zone, None)
-        if len(self._last_restoration) >= MAX_RESTORATIONS:
-            del self._last_restoration[next(iter(self._last_restoration))]
-        self._last_restoration[zone] = identity
+        set_newest(self._last_restoration, zone, identity, MAX_RESTORATIONS)
 
     def note_delivered(self, evacuations: EvacuationTable, zone: str, identity: int, now: TimeNs) -> None:
         """Records that the caller of an order on the zone has read its answer."""
--- a/rampfront/consensus/zone_order_history.py
+++ b/rampfront/consensus/zone_order_history.py
@@ -90,8 +90,8 @@
     def _observe_zone(self, zone: str, before: Evacuation, after: Evacuation, now: TimeNs) -> None:
         """Records the orders on one zone. A claim that has gone counts as one of a restoration."""
         added = [claim for claim in after.claims if find(before.claims, claim.identity) is None]
-        has_lost_claim = any(find(after.claims, claim.identity) is None for claim in before.claims)
-        if has_lost_claim or after.operators < before.operators:
+        has_ended_claim = any(find(after.claims, claim.identity) is None for claim in before.claims)
+        if has_ended_claim or after.operators < before.operators:
             self.note(ZoneOrder(OrderKind.RESTORE, zone, 0), now)
         for claim in added:
             self.note(ZoneOrder(OrderKind.EVACUATE, zone, claim.identity), now)
