--- a/rampfront/cli/lab_system.py
+++ b/rampfront/cli/lab_system.py
@@ -26,6 +26,7 @@
 JobCount = Annotated[int, typer.Option(min=1, help="Runs at the same time.")]
 _NS_PER_S = 1e9
 _ORDER_SOAK_S = 20.0  # in which operators begin to evacuate zones
+_ZONE_SOAK_S = 30.0  # the same, with several operators a zone
 
 
 def load_system_experiment(path: Path) -> Experiment:
@@ -145,6 +146,25 @@
     _report_soak(play_seeds(play, range(first, first + seeds), SoakSize(_ORDER_SOAK_S, nodes), out, jobs))
 
 
+@app.command("soak-zones")
+def system_soak_zones(
+    out: OutFolder = Path("found/soak-zones"),
+    seeds: SeedCount = 50,
+    first: FirstSeed = 1,
+    nodes: NodeCount = 0,
+    jobs: JobCount = 2,
+) -> None:
+    """Play several operators who evacuate the same zones at real nodes; judge each run by the requests at servers.
+
+    Exit 1 if a run broke a rule or came to no verdict; the folder of such a run, with the logs, is kept.
+    """
+    from ..lab.system.seeded_runs import play_seeds
+    from ..lab.system.soak_plan import SoakSize
+    from ..lab.system.zone_soak import play
+
+    _report_soak(play_seeds(play, range(first, first + seeds), SoakSize(_ZONE_SOAK_S, nodes), out, jobs))
+
+
 def _report_soak(results: Iterable[SeededResult]) -> None:
     """Prints each result once it is known. Exits with status 1 if a run failed."""
     runs = failed = 0
