Each acknowledged evacuation is a claim of its own, and restorations are replicated: a second operator's hold is never lost

Cause: a 200 that no replicated fact stood for. (1) An empty.start that might be a repeat (0.5 s behind a delivered answer, 7 s behind one of unknown fate) got 200 and was not counted; the clock then opened the zone. (2) A reset counted as a lost answer, whose claim went to the next operator. (3) What was known of the last return was the leader's own memory and ended with the zone's opening, so the repeat of one return ended the hold of another operator; a second operator's return was dropped in silence.

Change: every empty.start that is acknowledged counts, whatever the time; only a certainly lost answer gives up its claim. A reset is unknown, or delivered if its caller cannot have given up yet. Restorations are part of the replicated state (restorations.py), by zone, also behind its opening; one that may be a repeat is recorded and ends no claim until the answer before it is known to be delivered, and then only a claim that was there when it came. No zone opens by the clock. Answers name the holds that are left; empty.finish with hold=NAME ends one, repeatably. A start that cannot be counted any more is 503. Reports are resent until they are accepted. Records and frames have a column more, which older members ignore.

The model accepts a restoration that the committed state records as pending.

--- a/rampfront/consensus/evacuation_claims.py
+++ b/rampfront/consensus/evacuation_claims.py
@@ -1,9 +1,10 @@
 """Claims: the orders to evacuate one zone, and whether their callers are known to have received the answers.
 
-An order on a zone does not identify its operator, so a retry cannot be told from an order of a second operator by its
-content. It can be told by the delivery of the previous answer: a caller whose answer was lost retries, and one that
-received it does not. The node that accepted an order reports the delivery to the leader (`node/answer_reports.py`), and
-the claims store it as part of the replicated state. `evacuations.py` evaluates them. No I/O, no clock.
+A caller that has the 200 to its order relies on the zone staying evacuated until it restores it. Orders do not identify
+their operator, so a repeat whose first answer was lost looks like the order of a second operator. Therefore each
+acknowledged order is a claim of its own, until it is certain that its caller has no 200. The node that accepted an
+order reports the delivery of the answer (`node/answer_reports.py`); the claims are part of the replicated state.
+`evacuations.py` evaluates them. No I/O, no clock.
 """
 
 from collections.abc import Iterable, Mapping
@@ -12,7 +13,7 @@
 
 from .errors import RemoteProtocolError
 
-MAX_CLAIMS = 8  # per zone; the oldest are evicted first
+MAX_CLAIMS = 32  # per zone; no further order is accepted
 MAX_ZONES = 64
 IDENTITY_LIMIT = 1 << 53
 EXPLICIT_IDENTITY = 1 << 52  # bit set in identities that callers supply themselves, the same one on each retry
@@ -29,8 +30,8 @@
 class Claim(NamedTuple):
     """One order to evacuate a zone.
 
-    `identity`: the identity of the order. `counted`: whether the claim is included in `Evacuation.operators`; an order
-    that a later one may be a retry of is not.
+    `identity`: the identity of the order. `counted`: whether the claim is included in `Evacuation.operators`. One that
+    is not was ended by a restoration, which counts for another claim if this one turns out to be lost.
     """
 
     identity: int
@@ -52,14 +53,9 @@
     return next((claim for claim in claims if claim.identity == identity), None)
 
 
-def last_counted(claims: Claims) -> Claim | None:
-    """Returns the newest claim that counts as an operator, or None."""
-    return next((claim for claim in reversed(claims) if claim.counted), None)
-
-
-def newest_uncounted(claims: Claims) -> Claim | None:
-    """Returns the newest claim that a later order may be a retry of, or None."""
-    return next((claim for claim in reversed(claims) if not claim.counted), None)
+def oldest_uncounted(claims: Claims) -> Claim | None:
+    """Returns the oldest claim that a restoration has ended provisionally, or None."""
+    return next((claim for claim in claims if not claim.counted), None)
 
 
 def lost_claim(claims: Claims) -> Claim | None:
@@ -69,7 +65,7 @@
 
 def with_new(claims: Claims, identity: int) -> Claims:
     """Returns the claims with one for a new order appended; an order without identity (0) adds none."""
-    return (*claims, Claim(identity))[-MAX_CLAIMS:] if identity else claims
+    return (*claims, Claim(identity)) if identity else claims
 
 
 def without(claims: Claims, claim: Claim | None) -> Claims:
@@ -82,13 +78,23 @@
     return tuple(successor if each is claim else each for each in claims)
 
 
-def without_restored(claims: Claims) -> Claims:
-    """Returns the claims after one operator has restored the zone.
+def up_to(claims: Claims, identity: int) -> Claims:
+    """Returns the claims up to the one with this identity; none if there is none."""
+    return next((claims[: index + 1] for index, claim in enumerate(claims) if claim.identity == identity), ())
+
+
+def with_one_ended(claims: Claims) -> Claims:
+    """Returns the claims after one operator has restored the zone, without saying which claim was its own.
 
-    It removes a counted claim whose answer was lost, or else the oldest counted claim.
+    A claim whose caller has no 200 goes first, then the oldest one whose caller certainly has it. If no answer is known
+    to be delivered, the oldest claim is kept as no longer counted: it may turn out to be lost.
     """
-    oldest = next((claim for claim in claims if claim.counted), None)
-    return without(claims, lost_claim(claims) or oldest)
+    counted = [claim for claim in claims if claim.counted]
+    delivered = next((claim for claim in counted if claim.delivery is Delivery.DELIVERED), None)
+    certain = lost_claim(claims) or delivered
+    if certain is not None:
+        return without(claims, certain)
+    return replaced(claims, counted[0], counted[0]._replace(counted=False)) if counted else claims
 
 
 def encode_claims(table: ClaimTable) -> list[list[object]]:
--- a/rampfront/consensus/evacuations.py
+++ b/rampfront/consensus/evacuations.py
@@ -1,18 +1,15 @@
-"""Counts how many operators keep a zone evacuated, as far as this can be determined: orders do not name an operator.
+"""Counts how many operators keep a zone evacuated. Orders do not name an operator.
 
-Callers retry an order whose answer was lost. A lost answer must neither leave a zone evacuated forever nor restore it
-early. Whether an order is a retry is derived from the delivery of the previous answer (`evacuation_claims.py`):
+The 200 to an order to evacuate a zone promises that the zone stays evacuated until its caller restores it. So every
+acknowledged order counts (`evacuation_claims.py`), whenever it comes and whatever it may be a repeat of:
 
-- The answer was lost: the next order replaces the claim, whoever sends it, since nobody relies on the lost one.
-- The answer was delivered: the next order comes from another operator, who is counted and must restore the zone too.
-- The delivery is unknown and callers may still be retrying: the next order may come from another operator, who is
-  taken into account for a bounded time. When the last certain operator restores the zone, it reopens only after the
-  retry window has passed once more (`operators` is 0 meanwhile). A later delivery report settles the case.
-- A zone is restored again while callers may be retrying the restoration: the order is treated as a retry and changes
-  nothing.
+- Only an order whose answer was certainly lost counts no more; the next one takes its place.
+- An order to restore the zone ends one of the claims. Which one does not matter: the zone reopens with the last.
+- A repeat whose first answer may have been read leaves a claim that nobody may hold. The answer to the restoration
+  names the claims that are left, and an operator who knows better ends a claim by its identity.
 
-The mechanism is specific to this project. Nothing here reads a clock: the leader's `RepeatWindow` (`repeat_window.py`)
-decides whether an order may be a retry. `order_application.py` calls the functions below.
+Time decides nothing here. Whether an order to restore a zone may be a repeat is for the caller of this module
+(`restorations.py`). The mechanism is specific to this project. `order_application.py` calls the functions below.
 """
 
 from collections.abc import Mapping
@@ -22,17 +19,16 @@
 from .errors import RemoteProtocolError
 from .evacuation_claims import Claim, Claims, Delivery
 
-MAX_OPERATORS = 8  # counted per zone
+MAX_OPERATORS = evacuation_claims.MAX_CLAIMS  # counted per zone; no further order is accepted
 MAX_ROWS = 512  # for all zones together; older records have one row per operator
 
 
 class Evacuation(NamedTuple):
     """What is known about the operators that keep one zone evacuated.
 
-    `operators`: number of operators that certainly evacuated the zone and have not restored it; with 0, the zone
-    reopens after the retry window. `repeated`: a repeated order may have come from one more operator. `returned`: some
-    operator has restored the zone, and that order may be retried. `claims`: the evacuation orders that have an
-    identity.
+    `operators`: number of operators that may hold the zone. `returned`: some operator has restored the zone, and others
+    hold it. `claims`: the evacuation orders that have an identity. `repeated`: only in states of older versions, which
+    did not count an order that may be a repeat (see `normalized`).
     """
 
     operators: int = 1
@@ -48,6 +44,18 @@
         """Whether the answer to an order that keeps the zone evacuated was lost, so that the next one replaces it."""
         return bool(self.operators) and evacuation_claims.lost_claim(self.claims) is not None
 
+    def is_full(self) -> bool:
+        """Whether no further order can be counted."""
+        return self.operators >= MAX_OPERATORS or len(self.claims) >= evacuation_claims.MAX_CLAIMS
+
+    def normalized(self) -> "Evacuation":
+        """Returns the same evacuation, in which an order counts that an older version took for a possible repeat."""
+        if self.operators and not self.repeated:
+            return self
+        uncounted = sum(not claim.counted for claim in self.claims)
+        claims = tuple(claim._replace(counted=True) for claim in self.claims)
+        return Evacuation(min(self.operators + max(uncounted, 1), MAX_OPERATORS), False, self.returned, claims)
+
     def is_single_operator(self) -> bool:
         """Whether exactly one operator evacuated the zone and no repeated or restoring order was seen."""
         return (self.operators, self.repeated, self.returned) == (1, False, False)
@@ -67,86 +75,67 @@
     evacuations: EvacuationTable
 
 
-def evacuate(
-    zones: frozenset[str], evacuations: EvacuationTable, zone: str, may_be_repeat: bool, identity: int = 0
-) -> ZoneChange:
+def evacuate(zones: frozenset[str], evacuations: EvacuationTable, zone: str, identity: int = 0) -> ZoneChange:
     """Returns the zones after an order to evacuate one; the same two objects if nothing changes.
 
-    `may_be_repeat`: whether the order may be a retry of one whose answer is not known to be lost. `identity`: the
-    identity of the order, or 0 if it has none.
+    `identity`: the identity of the order, or 0 if it has none.
     """
     if zone not in zones:
         first = Evacuation(claims=evacuation_claims.with_new((), identity))
         return ZoneChange(zones | {zone}, _updated(evacuations, zone, first))
-    before = evacuations.get(zone, SINGLE_OPERATOR)
-    if before.has_claim(identity):
+    before = evacuations.get(zone, SINGLE_OPERATOR).normalized()
+    claim = evacuation_claims.find(before.claims, identity)
+    if claim is not None and claim.counted:
         return ZoneChange(zones, evacuations)
-    return ZoneChange(zones, _updated(evacuations, zone, _evacuated_again(before, may_be_repeat, identity)))
+    return ZoneChange(zones, _updated(evacuations, zone, _evacuated_again(before, claim, identity)))
 
 
-def _evacuated_again(before: Evacuation, may_be_repeat: bool, identity: int) -> Evacuation:
-    """Returns the evacuation after a further order to evacuate a zone that is already evacuated."""
-    claims = evacuation_claims.with_new(before.claims, identity)
-    lost = evacuation_claims.lost_claim(before.claims)
-    last = evacuation_claims.last_counted(before.claims)
-    if not before.operators:
-        return Evacuation(claims=evacuation_claims.with_new((), identity))
-    if lost is not None:
-        return before._replace(claims=evacuation_claims.without(claims, lost))
-    if not may_be_repeat:
-        return before._replace(operators=min(before.operators + 1, MAX_OPERATORS), claims=claims)
-    if last is not None and identity:
-        claims = evacuation_claims.replaced(claims, last, last._replace(counted=False))
-    return before._replace(repeated=True, claims=claims)
-
-
-def note_delivered(
-    evacuations: EvacuationTable, zone: str, identity: int, was_followed_closely: bool
-) -> EvacuationTable:
-    """Returns the table after a report that the caller of an evacuation order has read its answer.
-
-    `was_followed_closely`: another order arrived so soon after this answer that it may be a retry nevertheless.
+def _evacuated_again(before: Evacuation, own: Claim | None, identity: int) -> Evacuation:
+    """Returns the evacuation after a further order to evacuate a zone that is already evacuated.
+
+    `own`: the uncounted claim of the same order. Its caller has no answer yet, so another operator restored the zone.
     """
-    before = evacuations.get(zone, SINGLE_OPERATOR)
+    lost = evacuation_claims.lost_claim(before.claims)
+    if own is not None:
+        claims = evacuation_claims.replaced(before.claims, own, own._replace(counted=True))
+    elif lost is not None:
+        claims = evacuation_claims.with_new(evacuation_claims.without(before.claims, lost), identity)
+        return before._replace(claims=claims)
+    else:
+        claims = evacuation_claims.with_new(before.claims, identity)
+    return before._replace(operators=before.operators + 1, claims=claims)
+
+
+def note_delivered(evacuations: EvacuationTable, zone: str, identity: int) -> EvacuationTable:
+    """Returns the table after a report that the caller of an evacuation order has read its answer."""
+    before = evacuations.get(zone, SINGLE_OPERATOR).normalized()
     claim = evacuation_claims.find(before.claims, identity)
     if claim is None or claim.delivery is Delivery.DELIVERED:  # the second one: reports are resent, too
         return evacuations
-    if claim.counted or was_followed_closely:
-        read = claim._replace(delivery=Delivery.DELIVERED)
-        return _updated(
-            evacuations, zone, before._replace(claims=evacuation_claims.replaced(before.claims, claim, read))
-        )
-    # The later order is not a retry, since this caller received its answer and had no reason to retry.
-    claims = evacuation_claims.replaced(before.claims, claim, Claim(identity, Delivery.DELIVERED))
-    after = before._replace(
-        operators=min(before.operators + 1, MAX_OPERATORS),
-        repeated=evacuation_claims.newest_uncounted(claims) is not None,
-        claims=claims,
-    )
-    return _updated(evacuations, zone, after)
+    if claim.counted:
+        delivered = claim._replace(delivery=Delivery.DELIVERED)
+        claims = evacuation_claims.replaced(before.claims, claim, delivered)
+    else:  # the restoration that has ended it is final now
+        claims = evacuation_claims.without(before.claims, claim)
+    return _updated(evacuations, zone, before._replace(claims=claims))
 
 
 def note_lost(zones: frozenset[str], evacuations: EvacuationTable, zone: str, identity: int) -> ZoneChange:
-    """Returns the zones after a report that the caller of an evacuation order never read its answer.
+    """Returns the zones after a report that the caller of an evacuation order certainly has no 200.
 
-    The caller does not consider the order acknowledged, and either retries or abandons it; the zone stays evacuated
-    until then.
+    The caller either retries or abandons it. If nobody has restored the zone, it stays evacuated until then.
     """
-    before = evacuations.get(zone, SINGLE_OPERATOR)
+    before = evacuations.get(zone, SINGLE_OPERATOR).normalized()
     claim = evacuation_claims.find(before.claims, identity)
-    if claim is None:
+    if claim is None or claim.delivery is not Delivery.UNKNOWN:
         return ZoneChange(zones, evacuations)
-    others = evacuation_claims.without(before.claims, claim)
-    uncounted = evacuation_claims.newest_uncounted(others)
-    if not claim.counted:
-        if uncounted is None and not before.operators:
-            return reopen(zones, evacuations, zone)
-        after = before._replace(repeated=uncounted is not None, claims=others)
-    elif uncounted is not None:
-        others = evacuation_claims.replaced(others, uncounted, uncounted._replace(counted=True))
-        after = before._replace(repeated=evacuation_claims.newest_uncounted(others) is not None, claims=others)
-    elif before.operators > 1:
-        after = before._replace(operators=before.operators - 1, claims=others)
+    others = before._replace(claims=evacuation_claims.without(before.claims, claim))
+    if not claim.counted:  # the restoration that has ended it came from the operator of another claim
+        return _with_one_ended(zones, evacuations, zone, others)
+    if before.operators > 1:
+        after = others._replace(operators=before.operators - 1)
+    elif before.returned:
+        return reopen(zones, evacuations, zone)
     else:
         lost = claim._replace(delivery=Delivery.LOST)
         after = before._replace(claims=evacuation_claims.replaced(before.claims, claim, lost))
@@ -160,18 +149,56 @@
     return {**evacuations, zone: after}
 
 
-def restore(zones: frozenset[str], evacuations: EvacuationTable, zone: str, may_be_repeat: bool) -> ZoneChange:
-    """Returns the zones after an order to restore one; the same two objects if nothing changes."""
+def restore(zones: frozenset[str], evacuations: EvacuationTable, zone: str) -> ZoneChange:
+    """Returns the zones after one operator has restored one; the same two objects if nothing changes."""
     if zone not in zones:
         return ZoneChange(zones, evacuations)
-    before = evacuations.get(zone, SINGLE_OPERATOR)
-    if before.returned and may_be_repeat:
+    return _with_one_ended(zones, evacuations, zone, evacuations.get(zone, SINGLE_OPERATOR).normalized())
+
+
+def _with_one_ended(zones: frozenset[str], evacuations: EvacuationTable, zone: str, before: Evacuation) -> ZoneChange:
+    """Returns the zones after one of the operators of `before` no longer holds the zone."""
+    left = before.operators - 1
+    if left <= 0:
+        return reopen(zones, evacuations, zone)
+    after = Evacuation(left, False, True, evacuation_claims.with_one_ended(before.claims))
+    return ZoneChange(zones, _updated(evacuations, zone, after))
+
+
+def restore_later(zones: frozenset[str], evacuations: EvacuationTable, zone: str, newest_claim: int) -> ZoneChange:
+    """Returns the zones after an order to restore one that came before some of its claims.
+
+    `newest_claim`: identity of the newest claim that was there when it came; the order ends no newer one.
+    """
+    before = evacuations.get(zone, SINGLE_OPERATOR).normalized()
+    older = evacuation_claims.up_to(before.claims, newest_claim)
+    if zone not in zones or not any(claim.counted for claim in older):
+        return ZoneChange(zones, evacuations)
+    if before.operators <= 1:
+        return reopen(zones, evacuations, zone)
+    claims = evacuation_claims.with_one_ended(older) + before.claims[len(older) :]
+    return ZoneChange(zones, _updated(evacuations, zone, Evacuation(before.operators - 1, False, True, claims)))
+
+
+def end_claim(zones: frozenset[str], evacuations: EvacuationTable, zone: str, identity: int) -> ZoneChange:
+    """Returns the zones after an order that ends the claim with this identity; unchanged if there is none.
+
+    A restoration that has ended some claim provisionally may have come from the same operator. So it counts no more.
+    """
+    before = evacuations.get(zone, SINGLE_OPERATOR).normalized()
+    claim = evacuation_claims.find(before.claims, identity)
+    if zone not in zones or claim is None:
         return ZoneChange(zones, evacuations)
-    left = max(0, before.operators - 1)
-    if left or (before.repeated and before.operators):
-        claims = evacuation_claims.without_restored(before.claims)
-        return ZoneChange(zones, {**evacuations, zone: Evacuation(left, before.repeated, True, claims)})
-    return reopen(zones, evacuations, zone)
+    others = evacuation_claims.without(before.claims, claim)
+    uncounted = evacuation_claims.oldest_uncounted(others)
+    operators = before.operators
+    if claim.counted and uncounted is not None:
+        others = evacuation_claims.replaced(others, uncounted, uncounted._replace(counted=True))
+    elif claim.counted:
+        operators -= 1
+    if not operators:
+        return reopen(zones, evacuations, zone)
+    return ZoneChange(zones, _updated(evacuations, zone, Evacuation(operators, False, True, others)))
 
 
 def reopen(zones: frozenset[str], evacuations: EvacuationTable, zone: str) -> ZoneChange:
--- a/rampfront/consensus/events.py
+++ b/rampfront/consensus/events.py
@@ -18,6 +18,7 @@
     CONFIGURE = "config"  # commit a new configuration
     EVACUATE = "empty"  # evacuate a zone
     RESTORE = "fill"  # restore an evacuated zone
+    END_CLAIM = "free"  # end one claim on an evacuated zone, by its identity
     READ = "read"  # read the committed state
     ANSWER_DELIVERED = "got"  # report that the caller of a zone order has read the answer
     ANSWER_LOST = "lost"  # report that the caller of a zone order never read the answer
@@ -59,9 +60,9 @@
 class Order:
     """An operator's order. `ref` is opaque to the core and is returned in `OrderEnded`.
 
-    `body`: (revision, compressed bytes) for a configuration, the zone's name, (zone, identity of the order) for a
-    delivery report, or None for a read; not validated. `identity`: of a zone order, by which delivery reports refer to
-    it; 0 if an older node sent the order.
+    `body`: (revision, compressed bytes) for a configuration, the zone's name, (zone, identity of the order) to end a
+    claim and for a delivery report, or None for a read; not validated. `identity`: of a zone order, by which delivery
+    reports refer to it; 0 if an older node sent the order.
     """
 
     ref: object
--- a/rampfront/consensus/frame_decoder.py
+++ b/rampfront/consensus/frame_decoder.py
@@ -147,6 +147,7 @@
         frame[wire.ENTRY],
         frame.get(wire.VERSIONS),
         frame.get(wire.CLAIMS),
+        frame.get(wire.RESTORATIONS),
     )
 
 
@@ -220,6 +221,7 @@
     wire.SENDER_NAME: _is_name,
     wire.VERSIONS: _is_list,
     wire.CLAIMS: _is_list,
+    wire.RESTORATIONS: _is_list,
 }
 
 
--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -73,19 +73,15 @@
         # number tells the attempts apart (`node/order_table.py`).
         return deferral.identity == order.identity and not is_explicit(order.identity)
 
-    def first_attempt_at(self, order: ZoneOrder, now: TimeNs) -> TimeNs:
-        """Returns when the attempt arrived that this one repeats, or `now` if it is the first one.
-
-        What an order counts as depends on when its caller first gave it: the demand for a repeat must not change that.
-        """
-        deferral = self._deferral(order, now)
-        return now if deferral is None else deferral.at
-
     def _deferral(self, order: ZoneOrder, now: TimeNs) -> Deferral | None:
         """Returns the attempt that this one may repeat."""
         deferral = self._deferred.get(_demand(order))
         return None if deferral is None or now - deferral.at > self._repeats_within else deferral
 
+    def note_delivered(self, order: ZoneOrder, now: TimeNs) -> None:
+        """Records that the answer to a restoration was delivered."""
+        self._history.note_delivered(order, now)
+
     def note_accepted(self, order: ZoneOrder, now: TimeNs) -> None:
         """Records an order that was accepted, whether it changed the zone or not."""
         for demand in [demand for demand in self._deferred if demand.zone == order.zone]:
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -68,9 +68,10 @@
         self.replication = Replication(context, persistent, self.rounds, self.membership)
         self.strength_monitor = StrengthMonitor(self.membership, self.replication, survive)
         repeats_within = context.settings.order_repeat_ns
-        repeat_window = RepeatWindow(context.now, repeats_within)
+        zone_orders = self._known_zone_orders()
+        repeat_window = RepeatWindow(zone_orders, context.now, repeats_within)
         self._orders = OrderQueue(context, persistent)
-        detector = LateOrderDetector(self._known_zone_orders(), retry_window(repeats_within))
+        detector = LateOrderDetector(zone_orders, retry_window(repeats_within))
         self._application = OrderApplication(repeat_window, detector)
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
@@ -243,7 +244,7 @@
         elif is_changing:
             self._propose()
         else:
-            return self._reopen_zone(entry)
+            return False
         return True
 
     def _next_step(self) -> Step | None:
@@ -254,14 +255,6 @@
         )
         return self.membership.next_step(view)
 
-    def _reopen_zone(self, entry: State) -> bool:
-        """Reopens a zone that no certain operator keeps evacuated any more; returns whether there was one."""
-        reopened = self._application.reopen_expired_zone(entry, self.context.now)
-        if reopened is None:
-            return False
-        self._propose(evacuated_zones=reopened.zones, evacuations=reopened.evacuations)
-        return True
-
     # Orders.
 
     def submit(self, order: Order) -> None:
@@ -278,7 +271,7 @@
         is_read = pending.kind is OrderKind.READ
         if is_read or (is_first and self._is_applied_by_pending_entry(pending)):
             pending.set_outcome(self._application.outcome(entry, pending))
-            self._application.note(pending, entry, entry, now)
+            self._application.note(pending, now)
             self._await_round([pending], 0 if is_read else entry.index)
         else:
             self._propose_next()
@@ -320,6 +313,7 @@
                 body=state.body,
                 evacuated_zones=state.evacuated_zones,
                 evacuations=state.evacuations,
+                restorations=state.restorations,
                 versions=state.versions,
             )
         if batch.unchanged:
--- a/rampfront/consensus/persistent_state.py
+++ b/rampfront/consensus/persistent_state.py
@@ -64,6 +64,7 @@
             self._start_empty()
         if self.entry is not None:
             self.bodies.add(self.entry)
+            self.zone_orders.note_deliveries(self.entry, context.now)
 
     # Identity.
 
--- a/rampfront/consensus/record.py
+++ b/rampfront/consensus/record.py
@@ -10,6 +10,7 @@
 
 from .errors import RecordError, RemoteProtocolError
 from .identifiers import Incarnation, LogPosition, MemberKey, Term
+from .restorations import encode_restorations
 from .state import State, decode_state
 from .version_history import VersionHistory, decode_history
 
@@ -51,10 +52,13 @@
         record.owner,
     ]
     claims = entry.encode_claims() if entry else None
-    if claims is not None or record.node_ips:
+    restorations = encode_restorations(entry.restorations) if entry else None
+    if claims is not None or record.node_ips or restorations:
         columns.append(claims)
-    if record.node_ips:
+    if record.node_ips or restorations:
         columns.append(record.node_ips)
+    if restorations:
+        columns.append(restorations)
     return cbor2.dumps(columns)
 
 
@@ -70,7 +74,7 @@
         raise RecordError("record cannot be decoded") from None
     match columns:
         case [format_version, incarnation, term, vote, committed, row, member_ips, *optional]:
-            defaults: list[object] = [None, owner, None, []]  # values for the columns that older records lack
+            defaults: list[object] = [None, owner, None, [], None]  # values for the columns that older records lack
             last_columns = [*optional, *defaults[len(optional) :]]
         case _:
             raise RecordError("record cannot be decoded")
@@ -84,7 +88,7 @@
         term,
         MemberKey(*vote) if vote else None,
         LogPosition(*committed) if committed else None,
-        _decode_entry(row, last_columns[0], last_columns[2]),
+        _decode_entry(row, last_columns[0], last_columns[2], last_columns[4]),
         member_ips,
         owner,
         _decode_node_ips(last_columns[3]),
@@ -98,17 +102,17 @@
     return ips
 
 
-def _decode_entry(row: object, versions: object, claims: object) -> State | None:
+def _decode_entry(row: object, versions: object, claims: object, restorations: object) -> State | None:
     """Decodes the stored entry. Raises RecordError.
 
-    `versions`: its encoded version history; None in an older record. `claims`: its encoded claims on evacuated zones;
-    None if there are none.
+    `versions`: its encoded version history; None in an older record. `claims`, `restorations`: its encoded claims on
+    evacuated zones, and its restorations; None if there are none.
     """
     if not row:
         return None
     try:
         entry = decode_state(row)
-        entry = None if entry is None else entry.with_claims(claims)
+        entry = None if entry is None else entry.with_claims(claims).with_restorations(restorations)
         history = VersionHistory() if versions is None else decode_history(versions)
     except RemoteProtocolError as error:
         raise RecordError(str(error)) from error
--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -1,21 +1,22 @@
-"""Decides by elapsed time whether an order on a zone may be a retry of the previous one.
+"""Decides by elapsed time whether an order to restore a zone may be a retry of the restoration before it.
 
-Callers retry an order for a bounded time if its answer was lost (`evacuations.py` describes the consequences). A caller
-whose answer was delivered does not retry, except that a program may lose an answer that its machine has acknowledged;
-it then retries immediately. A leader records when it accepted the last orders and when their answers were delivered.
-Zones that were already evacuated when it was elected are treated as evacuated at that time. No I/O, no clock: times are
-ns of the leader's monotonic clock.
+Callers retry an order for a bounded time if its answer was lost (`restorations.py` describes the consequences). A
+caller whose answer was delivered does not retry, except that a program may lose an answer that its machine has
+acknowledged; it then retries immediately. The times are those at which this member learned of an order or a delivery,
+as a leader or from a committed state (`zone_order_history.py`), so they are never too early. What the member does not
+know counts as of the leader's election. No I/O, no clock: times are ns of the leader's monotonic clock.
 """
 
-from .evacuation_claims import Delivery, is_explicit, last_counted
-from .evacuations import SINGLE_OPERATOR, EvacuationTable
+from .evacuation_claims import Delivery, is_explicit
+from .events import OrderKind
 from .identifiers import MS, SEC, DurationNs, TimeNs
-from .zone_order_history import set_newest
+from .restorations import Restorations, last_unnamed
+from .zone_order_history import ZoneOrder, ZoneOrderHistory
 
 DEFAULT_REPEAT_NS = 6 * SEC  # how long callers retry an order, unless the settings say otherwise
 IN_FLIGHT_NS = SEC  # how long an order may be in transit to the leader
 IMMEDIATE_REPEAT_NS = 500 * MS  # first retry delay of a program that lost an answer its machine had received
-MAX_RESTORATIONS = 64  # zones whose last restoration is remembered
+ANSWERED_WITHIN_NS = SEC  # from the acceptance of an order to its answer; callers wait no longer
 
 
 def retry_window(repeats_within: DurationNs) -> DurationNs:
@@ -24,75 +25,43 @@
 
 
 class RepeatWindow:
-    """The times at which one leader accepted the last orders on each evacuated zone."""
+    """Compares the times of the last restorations of each zone, at one leader."""
 
-    def __init__(self, began_at: TimeNs, repeats_within: DurationNs) -> None:
-        """`began_at`: when this leader was elected; `repeats_within`: how long callers retry an order."""
+    def __init__(self, history: ZoneOrderHistory, began_at: TimeNs, repeats_within: DurationNs) -> None:
+        """`history`: of this leader; `began_at`: when it was elected; `repeats_within`: how long callers retry."""
+        self._history = history
         self._began_at = began_at
         self._window = retry_window(repeats_within)
-        # Keyed by zone; entries are removed when the zone reopens.
-        self._evacuated_at: dict[str, TimeNs] = {}
-        self._evacuation_delivered_at: dict[str, TimeNs] = {}  # delivery of the answer to the last evacuation order
-        self._restored_at: dict[str, TimeNs] = {}
-        self._restoration_delivered_at: dict[str, TimeNs] = {}
-        self._last_restoration: dict[str, int] = {}  # identity by zone; kept when the zone reopens, bounded
-
-    def evacuation_may_be_repeat(self, evacuations: EvacuationTable, zone: str, identity: int, now: TimeNs) -> bool:
-        """Whether an order to evacuate a zone may be a retry of the last one."""
-        last = last_counted(evacuations.get(zone, SINGLE_OPERATOR).claims)
-        if last is not None and (is_explicit(last.identity) or is_explicit(identity)):
-            return False  # a retry would have the identity of the first order
-        if last is not None and last.delivery is Delivery.DELIVERED:
-            return now - self._evacuation_delivered_at.get(zone, self._began_at) <= IMMEDIATE_REPEAT_NS
-        return now - self._evacuated_at.get(zone, self._began_at) <= self._window
-
-    def was_delivered_recently(self, zone: str, now: TimeNs) -> bool:
-        """Whether the last answer to an evacuation was delivered so recently that a program may retry the order."""
-        delivered_at = self._evacuation_delivered_at.get(zone)
-        return delivered_at is not None and now - delivered_at <= IMMEDIATE_REPEAT_NS
-
-    def was_evacuated_recently(self, zone: str, now: TimeNs) -> bool:
-        """Whether the last evacuation order is so recent that it may retry an order whose delivery is reported now."""
-        return now - self._evacuated_at.get(zone, self._began_at) <= IMMEDIATE_REPEAT_NS
-
-    def restoration_may_be_repeat(self, zone: str, identity: int, now: TimeNs) -> bool:
-        """Whether an order to restore a zone may be a retry of the last one."""
-        last = self._last_restoration.get(zone, 0)
-        if is_explicit(last) or is_explicit(identity):
-            return last == identity
-        if zone in self._restoration_delivered_at:
-            return now - self._restoration_delivered_at[zone] <= IMMEDIATE_REPEAT_NS
-        return now - self._restored_at.get(zone, self._began_at) <= self._window
-
-    def note_evacuation(self, zone: str, now: TimeNs) -> None:
-        """Records that an order to evacuate a zone was accepted."""
-        self._evacuated_at[zone] = now
-        self._evacuation_delivered_at.pop(zone, None)
-
-    def note_restoration(self, zone: str, identity: int, now: TimeNs) -> None:
-        """Records that an order to restore a zone was accepted."""
-        self._restored_at[zone] = now
-        self._restoration_delivered_at.pop(zone, None)
-        set_newest(self._last_restoration, zone, identity, MAX_RESTORATIONS)
-
-    def note_delivered(self, evacuations: EvacuationTable, zone: str, identity: int, now: TimeNs) -> None:
-        """Records that the caller of an order on the zone has read its answer."""
-        last = last_counted(evacuations.get(zone, SINGLE_OPERATOR).claims)
-        if last is not None and last.identity == identity:
-            self._evacuation_delivered_at.setdefault(zone, now)
-        if zone in self._restored_at and self._last_restoration.get(zone) == identity:
-            self._restoration_delivered_at.setdefault(zone, now)
-
-    def forget(self, zone: str) -> None:
-        """Removes the times of a zone that has reopened."""
-        self._evacuated_at.pop(zone, None)
-        self._evacuation_delivered_at.pop(zone, None)
-        self._restored_at.pop(zone, None)
-        self._restoration_delivered_at.pop(zone, None)
-
-    def expired_zone(self, evacuations: EvacuationTable, now: TimeNs) -> str | None:
-        """Returns a zone that no certain operator keeps evacuated and whose retry window has passed, or None."""
-        for zone, evacuation in evacuations.items():
-            if not evacuation.operators and now - self._restored_at.get(zone, self._began_at) > self._window:
-                return zone
-        return None
+
+    def may_be_repeat(self, restorations: Restorations, zone: str, identity: int, now: TimeNs) -> bool:
+        """Whether an order to restore a zone may be a retry of the last one of `restorations` that has no name.
+
+        An order with a name is a retry only of the one with the same name.
+        """
+        last = last_unnamed(restorations)
+        if last is None or is_explicit(identity):
+            return False
+        if last.delivery is Delivery.DELIVERED:
+            delivered_at = self._history.delivered_at(_order(zone, last.identity))
+            return now - self._or_election(delivered_at) <= IMMEDIATE_REPEAT_NS
+        return now - self._accepted_at(zone, last.identity) <= self._window
+
+    def is_within_window(self, now: TimeNs) -> bool:
+        """Whether callers of orders that an earlier leader accepted may still retry them."""
+        return now - self._began_at <= self._window
+
+    def followed_closely(self, zone: str, first: int, second: int) -> bool:
+        """Whether the restoration with the identity `second` came so soon after `first` that it may be a retry of it,
+        although the answer to `first` was delivered."""
+        elapsed = self._accepted_at(zone, second) - self._accepted_at(zone, first)
+        return elapsed <= ANSWERED_WITHIN_NS + IMMEDIATE_REPEAT_NS
+
+    def _accepted_at(self, zone: str, identity: int) -> TimeNs:
+        return self._or_election(self._history.learned_at(_order(zone, identity)))
+
+    def _or_election(self, time: TimeNs | None) -> TimeNs:
+        return self._began_at if time is None else time
+
+
+def _order(zone: str, identity: int) -> ZoneOrder:
+    return ZoneOrder(OrderKind.RESTORE, zone, identity)
--- a/rampfront/consensus/replication.py
+++ b/rampfront/consensus/replication.py
@@ -22,6 +22,7 @@
 from .messages import AppendAcknowledged, AppendEntry, Heartbeat
 from .persistent_state import PersistentState
 from .replica_progress import ReplicaProgress
+from .restorations import encode_restorations
 from .state import BODY_COLUMN, State
 from .version_history import VersionHistory
 
@@ -134,6 +135,7 @@
             row,
             versions.encode(),
             entry.encode_claims(),
+            encode_restorations(entry.restorations),
         )
         self._context.send(replica.ip, message)
 
--- a/rampfront/consensus/state.py
+++ b/rampfront/consensus/state.py
@@ -23,6 +23,7 @@
     with_claims,
 )
 from .identifiers import LogIndex, LogPosition, MemberAddress, MemberList, Term
+from .restorations import RestorationTable, decode_restorations
 from .version_history import VersionHistory, content_digest
 
 MAX_BODY_BYTES = 16 << 20  # size of a compressed configuration
@@ -53,6 +54,7 @@
     body_digest: bytes
     evacuations: EvacuationTable
     target_size: int
+    restorations: RestorationTable
     versions: VersionHistory
 
 
@@ -75,6 +77,7 @@
     body_digest: bytes = b""
     evacuations: EvacuationTable = field(default_factory=dict)  # operators that keep zones evacuated
     target_size: int = 0  # number of members admitted at the initial start; 0 in an older record
+    restorations: RestorationTable = field(default_factory=dict)  # by zone; encoded separately, for members only
     versions: VersionHistory = VersionHistory()  # confirmed configuration numbers; encoded separately, for members only
 
     @property
@@ -115,6 +118,13 @@
         table = claim_table(self.evacuations)
         return [*encode_claims(table)] if table else None
 
+    def with_restorations(self, rows: object) -> "State":
+        """Returns the same entry with restorations, given in the form of `encode_restorations`.
+
+        Raises RemoteProtocolError for malformed ones.
+        """
+        return self if rows is None else replace(self, restorations=decode_restorations(rows))
+
     def all_members(self) -> MemberList:
         """Returns all members with votes, of both lists; an address in `members` takes precedence."""
         return self.members if self.previous_members is None else {**self.previous_members, **self.members}
--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -40,6 +40,7 @@
     UNKNOWN = "unknown"  # the connection ended before delivery could be determined
     DELIVERED = "delivered"  # the sender of the request has received all of it
     LOST = "lost"  # the sender of the request has not received all of it
+    RESET = "reset"  # its machine has received all of it, and has reset the connection
 
 
 class RequestTiming(NamedTuple):
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -136,7 +136,9 @@
         """Cleans up after the connection has ended. A request in progress sees it in `IncomingRequest.finished`."""
         if self.request is not None:
             self._owner.counts["abandoned"] += 1
-        self._report_delivery(Delivery.UNKNOWN if error is None else Delivery.LOST)
+        if self._on_delivery is not None:
+            is_reset = error is not None and self._unacknowledged_bytes() <= _FIN_BYTES
+            self._report_delivery(Delivery.RESET if is_reset else Delivery.UNKNOWN)
         self.request = None
         self.closing = True
         self.ignores_input = True
--- a/rampfront/node/answer_reports.py
+++ b/rampfront/node/answer_reports.py
@@ -1,9 +1,9 @@
 """Reports to the core whether callers read the answers to their orders on zones.
 
 Only the node that answers an order knows whether the answer was delivered. The core needs this to distinguish a repeat
-from the order of a second operator (`consensus/evacuation_claims.py`). A report is submitted like an order, and
-resubmitted until the core accepts it. A report that is not accepted in time is dropped; the core then decides by the
-time between the orders.
+from the order of a second operator (`consensus/evacuation_claims.py`, `consensus/restorations.py`). A report is
+submitted like an order, and resubmitted until the core accepts it. Without it, an order counts as one whose answer may
+have been read.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 
 SEC = 10**9
 RETRY_NS = SEC // 2
-REPORT_TIMEOUT_NS = 20 * SEC
-MAX_PENDING = 64  # reports that the core has not accepted yet
+MAX_PENDING = 256  # reports that the core has not accepted yet; further ones are dropped
+CALLER_PATIENCE_NS = SEC  # of silence, after which a caller gives up (PROTOCOL.md, "The operator")
 
 
 class AnswerReports:
@@ -33,22 +33,29 @@
         self._orders = orders
         self._pending = 0
 
-    def report(self, zone: str, identity: int, delivery: Delivery) -> None:
-        """Report whether the answer to the order of that identity was delivered; nothing if that is not known."""
+    def report(self, zone: str, identity: int, delivery: Delivery, sent_at: int) -> None:
+        """Report whether the answer to the order of that identity was delivered; nothing if that is not known.
+
+        `sent_at`: since when the caller may have waited for the answer, ns. A caller that resets its connection behind
+        an answer has read it, unless it has waited for so long that it may have given up at the same moment.
+        """
+        if delivery is Delivery.RESET:
+            is_prompt = self._context.clock() - sent_at < CALLER_PATIENCE_NS
+            delivery = Delivery.DELIVERED if is_prompt else Delivery.UNKNOWN
         self._context.counts[f"answers_{delivery.value}"] += 1
         if delivery is Delivery.UNKNOWN or self._pending >= MAX_PENDING:
             return
         self._pending += 1
         kind = OrderKind.ANSWER_DELIVERED if delivery is Delivery.DELIVERED else OrderKind.ANSWER_LOST
-        self._submit(kind, (zone, identity), self._context.clock() + REPORT_TIMEOUT_NS)
+        self._submit(kind, (zone, identity))
 
-    def _submit(self, kind: OrderKind, body: tuple[str, int], deadline: int) -> None:
+    def _submit(self, kind: OrderKind, body: tuple[str, int]) -> None:
         def on_done(outcome: str | None, _: State | None) -> None:
-            """Submit the report again, unless it was accepted or is too old."""
-            if outcome == Outcome.DONE or self._context.clock() >= deadline:
+            """Submit the report again, unless it was accepted."""
+            if outcome == Outcome.DONE:
                 self._pending -= 1
                 return
             retry_at = self._context.clock() + RETRY_NS
-            self._context.scheduler.call_at(retry_at, self._submit, kind, body, deadline)
+            self._context.scheduler.call_at(retry_at, self._submit, kind, body)
 
         self._orders.submit(kind, body, on_done)
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -19,7 +19,7 @@
 from ..net.http_messages import Delivery, error_response, json_response
 from ..net.http_routing import endpoint
 from ..settings import configuration_reader
-from .evacuation_view import evacuation_view
+from .evacuation_view import evacuation_view, order_view, parse_hold
 from .order_messages import GIVEN_UP
 
 if TYPE_CHECKING:
@@ -128,33 +128,63 @@
 
     @endpoint("POST", "/api/rpc", operation="empty.finish")
     def finish_evacuation(self, request: IncomingRequest) -> Response | None:
-        """Take a zone's servers back into use."""
-        return self._change_zone(request, OrderKind.RESTORE)
+        """Take a zone's servers back into use, once nobody else holds the zone.
 
-    def _change_zone(self, request: IncomingRequest, kind: str) -> Response | None:
+        With `hold` in the query, the hold of that name is ended, whoever has it.
+        """
+        hold = request.query.get("hold")
+        return self._change_zone(request, OrderKind.RESTORE) if hold is None else self._end_claim(request, hold)
+
+    def _zone(self, request: IncomingRequest) -> str | Response:
+        """Return the zone in the query, or the answer to a request without a known one."""
         zone = request.query.get("of")
         if zone is None:
             return json_response({"Message": "of: missing in the query", "Field": "of"}, 400)
         if zone not in self._zones:
             return json_response({"Message": f"of: {zone[:MAX_SHOWN_ZONE]!r} is no zone", "Field": "of"}, 400)
+        return zone
+
+    def _end_claim(self, request: IncomingRequest, hold: str) -> Response | None:
+        """End the hold of a name. A repeat of the order, or a late copy of it, changes nothing."""
+        zone, identity = self._zone(request), parse_hold(hold)
+        if not isinstance(zone, str):
+            return zone
+        if identity is None:
+            return json_response({"Message": f"hold: {hold[:MAX_SHOWN_ZONE]!r} is no hold", "Field": "hold"}, 400)
+
+        def on_done(outcome: str | None, state: State | None) -> None:
+            """Answer the caller."""
+            if outcome == Outcome.DONE and state is not None:
+                reply(request, json_response(evacuation_view(zone, state)))
+            else:
+                reply(request, NO_ANSWER)
+
+        self._orders.submit(OrderKind.END_CLAIM, (zone, identity), on_done)
+        return None
+
+    def _change_zone(self, request: IncomingRequest, kind: str) -> Response | None:
+        zone = self._zone(request)
+        if not isinstance(zone, str):
+            return zone
         key = request.idempotency_key
         if len(key) > MAX_KEY_BYTES:
             message = f"Idempotency-Key: over {MAX_KEY_BYTES} bytes"
             return json_response({"Message": message, "Field": "Idempotency-Key"}, 400)
         identity = explicit_identity(key) if key else self._orders.next_identity()
+        sent_at = self._orders.clock() - request.timing().max_age_ns
 
         def on_delivery(delivery: Delivery) -> None:
             """Report to the core whether the caller read the acknowledgement.
 
             For an order with an idempotency key a lost answer is not reported: its key identifies a repeat.
             """
-            if not key or delivery is Delivery.DELIVERED:
-                self._reports.report(zone, identity, delivery)
+            if not key or delivery is not Delivery.LOST:
+                self._reports.report(zone, identity, delivery, sent_at)
 
         def on_done(outcome: str | None, state: State | None) -> None:
-            """Answer the caller."""
-            if outcome == Outcome.DONE and state is not None:
-                answer = json_response(evacuation_view(zone, state))
+            """Answer the caller. One that has left gets no 200, so that the answer is certainly lost."""
+            if outcome == Outcome.DONE and state is not None and request.is_awaited():
+                answer = json_response(order_view(zone, state, kind, identity))
                 request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
                 # The caller opens a connection for the next attempt: its age bounds that of the order.
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -17,6 +17,7 @@
 
 from ..consensus.evacuation_claims import IDENTITY_LIMIT
 from ..consensus.events import OrderKind, Outcome
+from ..consensus.restorations import encode_restorations, pending_only
 from ..consensus.state import MAX_BODY_BYTES, MAX_ZONE_CHARS, State, decode_state
 from ..transport.frames import Message
 
@@ -31,6 +32,8 @@
 OUTCOME = "v"
 STATE = "S"
 DEADLINE = "d"
+CLAIMS = "c"
+RESTORATIONS = "u"
 NEEDS_REPEAT = "n"
 
 REQUEST_FRAME = "order"
@@ -53,6 +56,7 @@
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they are based on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of an order with a configuration
 REPORT_KINDS = (OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST)
+CLAIM_FIELDS = ("zone", "identity")  # of the body of an order that ends a claim
 REPORT_FIELDS = ("kind", "zone", "identity")  # of a report on an answer, on the wire
 INCARNATION_BITS = 32
 INCARNATION_LIMIT = 1 << INCARNATION_BITS
@@ -177,6 +181,12 @@
             frame[NEEDS_REPEAT] = True
         if self.state is not None:
             frame[STATE] = self.state.encode(self.with_body)
+            claims = self.state.encode_claims()
+            if claims is not None:
+                frame[CLAIMS] = claims
+            pending = encode_restorations(pending_only(self.state.restorations))
+            if pending is not None:
+                frame[RESTORATIONS] = pending
         return frame
 
     @classmethod
@@ -196,6 +206,7 @@
             state = decode_state(frame[STATE], bodies)
             if state is None:
                 raise MalformedMessageError("reply: the state's body is missing and not known here")
+            state = state.with_claims(frame.get(CLAIMS)).with_restorations(frame.get(RESTORATIONS))
         elif outcome in OUTCOMES_WITH_STATE:
             raise MalformedMessageError(f"reply: outcome {outcome} without a state")
         incarnation, number = decode_identity(frame)
@@ -229,6 +240,16 @@
     return body
 
 
+def _check_claim(body: object) -> tuple[str, int]:
+    """Return the zone and the identity of the claim that is to be ended."""
+    if not isinstance(body, (list, tuple)) or len(body) != len(CLAIM_FIELDS):
+        raise MalformedMessageError("order: a claim must be a zone and an identity")
+    zone, identity = body
+    if type(identity) is not int or not 0 < identity < IDENTITY_LIMIT:
+        raise MalformedMessageError("order: invalid identity")
+    return _check_zone(zone), identity
+
+
 def _check_order_identity(frame: Message) -> int:
     """Return the identity of an order on a zone; 0 if there is none."""
     identity = frame.get(IDENTITY, 0)
@@ -271,4 +292,5 @@
     OrderKind.EVACUATE: _check_zone,
     OrderKind.RESTORE: _check_zone,
     OrderKind.READ: _check_empty,
+    OrderKind.END_CLAIM: _check_claim,
 }
--- a/rampfront/node/order_submitter.py
+++ b/rampfront/node/order_submitter.py
@@ -62,6 +62,7 @@
         self._core = core
         self._disseminator = disseminator
         self._executor = executor
+        self.clock = context.clock
         self._number = 0  # of the last order
         self._identities = 0  # issued so far
         # Differs at each start, so that a reply to a former incarnation is not accepted by this one.
--- a/rampfront/simulation/checks.py
+++ b/rampfront/simulation/checks.py
@@ -44,7 +44,7 @@
             )
         self.restored_zones[state.index] = {
             zone for zone, evacuation in state.evacuations.items() if evacuation.returned
-        }
+        } | {zone for zone, rows in state.restorations.items() if any(row.is_pending for row in rows)}
         if self.bodies.setdefault(state.revision, state.body) != state.body:
             raise InvariantError(f"two bodies of r{state.revision}")
         if state.index < node.applied_index:
@@ -83,7 +83,7 @@
 
     def check_evacuation(self, call, indexes):
         """An order on a zone must have taken effect at one of these indexes: the zone was evacuated; or it was not, or
-        one operator had restored it."""
+        one operator had restored it, or the order is recorded as one that may be a repeat."""
         for index in indexes:
             if index in self.states:
                 emptied = call.body in self.states[index][3]
