--- a/rampfront/lab/system/zone_soak.py
+++ b/rampfront/lab/system/zone_soak.py
@@ -2,14 +2,15 @@
 
 Each operator evacuates its zone, holds it, restores it and rests, again and again, whatever the other one does. It
 gives up an attempt after a second without an answer and repeats the order at another node. A run is undisturbed, or
-its nodes are stopped, frozen, killed and restarted, or all are killed at once. `zone_judge.py` judges it by the
-requests that reached servers.
+its nodes are stopped, frozen, killed and restarted, or all are killed at once, also with a lost disk.
+`zone_judge.py` judges it by the requests that reached servers.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import shutil
 import signal
 import time
 from collections import Counter
@@ -54,6 +55,7 @@
     NONE = "none"
     SERIES = "series"
     ALL_KILLED = "all killed"
+    DISK_LOST = "all killed, a disk lost"
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +158,7 @@
         match self.manners.trouble:
             case Trouble.NONE:
                 return []
-            case Trouble.ALL_KILLED:
+            case Trouble.ALL_KILLED | Trouble.DISK_LOST:
                 return [self.loop.create_task(self._kill_all_repeatedly())]
             case Trouble.SERIES:
                 slots = asyncio.Semaphore(_MAX_MEMBERS_DOWN)
@@ -164,15 +166,19 @@
                 return [self.loop.create_task(row.run()) for row in rows]
 
     async def _kill_all_repeatedly(self) -> None:
-        """Kills all nodes at the same moment, and starts them again."""
+        """Kills all nodes at the same moment, and starts them again; one member's disk may be empty then."""
         while True:
             await asyncio.sleep(_SECONDS_BETWEEN_KILLS * self._random.uniform(0.5, 1.0))
             for node in self.nodes:
                 self.children[node.name].kill()
                 self.note_disturbed(node)
-            self.disturbances["all killed"] += 1
+            self.disturbances[self.manners.trouble.value] += 1
+            members = [node.name for node in self.nodes if node.disk]
+            lost = self._random.choice(members) if self.manners.trouble is Trouble.DISK_LOST else ""
             for node in self.nodes:
                 self.children[node.name].wait()
+                if node.name == lost:
+                    shutil.rmtree(self.process_settings(node, False)["Self"]["DataFolder"])
                 self.launch(node, first=False)
                 self.note_disturbed(node)
 
@@ -212,7 +218,7 @@
     """Returns how the operators of a seed's run behave."""
     rng = Random(f"zone-soak/{seed}/manners")
     return Manners(
-        rng.choice((Trouble.NONE, Trouble.SERIES, Trouble.SERIES, Trouble.ALL_KILLED)),
+        rng.choice((Trouble.NONE, Trouble.SERIES, Trouble.SERIES, Trouble.ALL_KILLED, Trouble.DISK_LOST)),
         rng.choice((Departure.CLOSES, Departure.RESETS)),
         rng.choice((0.0, 0.0, 0.4)),
     )
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -19,7 +19,7 @@
 from ..net.http_messages import Delivery, error_response, json_response
 from ..net.http_routing import endpoint
 from ..settings import configuration_reader
-from .evacuation_view import evacuation_view, order_view, parse_hold
+from .evacuation_view import MAY_BE_REPEAT, evacuation_view, order_view, parse_hold
 from .order_messages import GIVEN_UP
 
 if TYPE_CHECKING:
@@ -184,7 +184,9 @@
         def on_done(outcome: str | None, state: State | None) -> None:
             """Answer the caller. One that has left gets no 200, so that the answer is certainly lost."""
             if outcome == Outcome.DONE and state is not None and request.is_awaited():
-                answer = json_response(order_view(zone, state, kind, identity))
+                view = order_view(zone, state, kind, identity)
+                self.counts["restorations_pending"] += view.get("Message") == MAY_BE_REPEAT
+                answer = json_response(view)
                 request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
             else:
                 # The caller opens a connection for the next attempt: its age bounds that of the order.
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -74,6 +74,7 @@
     "answers_delivered": "Acknowledged orders on zones whose callers have read the answer.",
     "answers_lost": "Orders on zones whose callers never read an acknowledgement: they repeat them or give up.",
     "answers_unknown": "Acknowledged orders on zones of which it is not known whether their callers read the answer.",
+    "restorations_pending": "Orders to restore a zone that were taken for a repeat, and have ended no hold so far.",
     "replies_unsolicited": "Replies to orders that nobody waited for, or that did not count.",
     "stores": "Records of the core that were handed to the disk.",
     "stores_failed": "Records of the core that the disk refused.",
--- a/rampfront/operator_cli/zone_commands.py
+++ b/rampfront/operator_cli/zone_commands.py
@@ -27,10 +27,14 @@
 
 @click.command("return")
 @click.argument("zone")
+@click.option("--hold", help="End the hold of this name, whoever has it; `return` and `status` name the holds.")
 @with_session
-def take_back(session: Session, zone: str) -> None:
-    """Send requests to the servers of ZONE again. They pass through slow start, for the Warmup of their service."""
-    answer = _order(session, TAKE_BACK, zone)
+def take_back(session: Session, zone: str, hold: str | None) -> None:
+    """Send requests to the servers of ZONE again, once nobody else holds it.
+
+    They pass through slow start, for the Warmup of their service.
+    """
+    answer = _order(session, TAKE_BACK, zone, hold)
     evacuation = parse_evacuation(answer.body)
     if evacuation.get("Emptied"):
         outcome = f"stays emptied{evacuation_note(evacuation)}"
@@ -39,17 +43,18 @@
     _print_outcome(session, TAKE_BACK, zone, answer, outcome)
 
 
-def _order(session: Session, name: str, zone: str) -> Answer:
+def _order(session: Session, name: str, zone: str, hold: str | None = None) -> Answer:
     """Sends an order on a zone; ends the command if it fails, and lists the known zones if the zone is unknown.
 
     Each command has its own idempotency key, so that its retries do not count as another operator's order.
     """
     key = uuid.uuid4().hex.encode()
-    result = asyncio.run(session.client.call(name, query={"of": zone}, key=key))
+    query = {"of": zone} if hold is None else {"of": zone, "hold": hold}
+    result = asyncio.run(session.client.call(name, query=query, key=key))
     if isinstance(result, Ok):
         return result.ok_value
     failure = result.err_value
-    if isinstance(failure, Rejection) and failure.status == HTTPStatus.BAD_REQUEST:
+    if isinstance(failure, Rejection) and failure.status == HTTPStatus.BAD_REQUEST and hold is None:
         raise RejectedError(f"{failure}\n  known zones: {_known_zones(session)}")
     raise session.error_of(failure, name)
 
--- a/tests/node/test_configuration_answers.py
+++ b/tests/node/test_configuration_answers.py
@@ -171,9 +171,10 @@
     reply = OrderReply.decode(OrderReply(1, 2, Outcome.DONE, state).encode())
     held_by = [{"Hold": "1", "Answer": "delivered"}, {"Hold": "2a", "Answer": "unknown"}]
     control((Outcome.DONE, reply.state))[0].start_evacuation(start := FakeCall(of="hall"))
-    control((Outcome.DONE, reply.state))[0].finish_evacuation(finish := FakeCall(of="hall"))
+    calls = control((Outcome.DONE, reply.state))[0]
+    calls.finish_evacuation(finish := FakeCall(of="hall"))
     assert start.answer[1]["Hold"] == "1" and start.answer[1]["HeldBy"] == finish.answer[1]["HeldBy"] == held_by
-    assert "taken for a repeat" in finish.answer[1]["Message"]
+    assert "taken for a repeat" in finish.answer[1]["Message"] and calls.counts["restorations_pending"] == 1
 
 
 def test_a_hold_is_ended_by_its_name() -> None:
--- a/tests/operator_cli/test_zone_commands.py
+++ b/tests/operator_cli/test_zone_commands.py
@@ -21,6 +21,16 @@
         assert words in scripted_nodes.run("status")
 
 
+def test_what_still_holds_a_zone_is_named_and_can_be_ended(scripted_nodes):
+    row = {"Zone": "z1", "Emptied": True, "Operators": 1, "Repeated": False, "Returned": True}
+    held = {**row, "HeldBy": [{"Hold": "2a", "Answer": "unknown"}]}
+    scripted_nodes.put(A, empty_finish=(200, held), nodes_read=(200, {"Nodes": []}))
+    assert "holds: 2a (answer unknown)" in scripted_nodes.run("return", "z1")
+    scripted_nodes.put(A, empty_finish=(200, {**row, "Emptied": False, "Operators": 0}))
+    assert "z1 is taken back" in scripted_nodes.run("return", "z1", "--hold", "2a")
+    assert scripted_nodes.received_calls[-1][1:3] == ("empty.finish", {"of": "z1", "hold": "2a"})
+
+
 def test_zones_are_evacuated_and_taken_back(scripted_nodes):
     scripted_nodes.put(A, empty_start=(200, {}), empty_finish=(200, {}))
     assert scripted_nodes.run("evacuate", "z 1") == "z 1 is emptied; its servers get nothing new\n"
