A restoration that may be a repeat is demanded twice like any other; orders on zones are applied in a module of their own

A late copy of a return, delivered by a relay while the report on the answer to the return was still on its way from a frozen node, was recorded as a possible repeat; the report then made an order of another operator of it, and ended his hold. And a repeat that was demanded counted by the time of its second attempt.

Cause: what only records a possible repeat has an effect, too, and was exempt from the demand. The checker of histories knows a verdict 'pending': acknowledged as a possible repeat, as the caller is told.

--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -78,6 +78,14 @@
         deferral = self._deferred.get(_demand(order))
         return None if deferral is None or now - deferral.at > self._repeats_within else deferral
 
+    def first_attempt_at(self, order: ZoneOrder, now: TimeNs) -> TimeNs:
+        """Returns when the attempt arrived that this one repeats, or `now` if it is the first one.
+
+        What an order counts as depends on when its caller first gave it: the demand for a repeat must not change that.
+        """
+        deferral = self._deferral(order, now)
+        return now if deferral is None else deferral.at
+
     def note_delivered(self, order: ZoneOrder, now: TimeNs) -> None:
         """Records that the answer to a restoration was delivered."""
         self._history.note_delivered(order, now)
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -37,6 +37,7 @@
 from .repeat_window import RepeatWindow, retry_window
 from .replication import Replication
 from .state import State, StateChanges
+from .zone_order_application import ZoneOrderApplication
 from .zone_order_history import ZoneOrderHistory
 
 BOOTSTRAP_WAIT_NS = 5 * SEC  # how long an empty core waits for more members before it accepts orders
@@ -72,7 +73,7 @@
         repeat_window = RepeatWindow(zone_orders, context.now, repeats_within)
         self._orders = OrderQueue(context, persistent)
         detector = LateOrderDetector(zone_orders, retry_window(repeats_within))
-        self._application = OrderApplication(repeat_window, detector)
+        self._application = OrderApplication(ZoneOrderApplication(repeat_window, detector))
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
 
--- a/rampfront/consensus/repeat_window.py
+++ b/rampfront/consensus/repeat_window.py
@@ -11,7 +11,7 @@
 from .events import OrderKind
 from .identifiers import MS, SEC, DurationNs, TimeNs
 from .restorations import Restorations, last_unnamed
-from .zone_order_history import ZoneOrder, ZoneOrderHistory
+from .zone_order_history import MAX_IDENTITIES, ZoneOrder, ZoneOrderHistory, set_newest
 
 DEFAULT_REPEAT_NS = 6 * SEC  # how long callers retry an order, unless the settings say otherwise
 IN_FLIGHT_NS = SEC  # how long an order may be in transit to the leader
@@ -32,6 +32,11 @@
         self._history = history
         self._began_at = began_at
         self._window = retry_window(repeats_within)
+        self._given_at: dict[ZoneOrder, TimeNs] = {}  # the first attempts at the orders that this leader accepted
+
+    def note_given(self, order: ZoneOrder, given_at: TimeNs) -> None:
+        """Records when the first attempt at an accepted order came."""
+        set_newest(self._given_at, order, given_at, MAX_IDENTITIES)
 
     def may_be_repeat(self, restorations: Restorations, zone: str, identity: int, now: TimeNs) -> bool:
         """Whether an order to restore a zone may be a retry of the last one of `restorations` that has no name.
@@ -51,10 +56,12 @@
         return now - self._began_at <= self._window
 
     def followed_closely(self, zone: str, first: int, second: int) -> bool:
-        """Whether the restoration with the identity `second` came so soon after `first` that it may be a retry of it,
+        """Whether the restoration with the identity `second` may have come so soon after `first` that it is a retry,
         although the answer to `first` was delivered."""
-        elapsed = self._accepted_at(zone, second) - self._accepted_at(zone, first)
-        return elapsed <= ANSWERED_WITHIN_NS + IMMEDIATE_REPEAT_NS
+        given_at = self._given_at.get(_order(zone, second))
+        if given_at is None:  # an earlier leader accepted it
+            return True
+        return given_at - self._accepted_at(zone, first) <= ANSWERED_WITHIN_NS + IMMEDIATE_REPEAT_NS
 
     def _accepted_at(self, zone: str, identity: int) -> TimeNs:
         return self._or_election(self._history.learned_at(_order(zone, identity)))
--- a/rampfront/simulation/linearizability.py
+++ b/rampfront/simulation/linearizability.py
@@ -36,6 +36,7 @@
 
     ACKNOWLEDGED = "acknowledged"
     REFUSED = "refused"  # because of what is committed: will never be carried out, nor will a repeat of it
+    PENDING = "pending"  # acknowledged as what may be a repeat, as its caller is told: takes effect later, or never
     NOT_TAKEN = "not taken"  # certainly not by this call; a repeat may be
     IN_DOUBT = "in doubt"  # no answer, or an inconclusive one: takes effect at any time after its start, or never
 
@@ -65,7 +66,7 @@
     @property
     def may_take_effect(self) -> bool:
         """Whether it may have been carried out, or still be."""
-        return self.verdict in (Verdict.ACKNOWLEDGED, Verdict.IN_DOUBT)
+        return self.verdict in (Verdict.ACKNOWLEDGED, Verdict.PENDING, Verdict.IN_DOUBT)
 
     def __str__(self) -> str:
         """One line for the log of a failing run."""
--- a/rampfront/simulation/world.py
+++ b/rampfront/simulation/world.py
@@ -10,7 +10,7 @@
 
 import cbor2
 
-from rampfront.consensus import events
+from rampfront.consensus import events, restorations
 from rampfront.consensus.context import MemberSettings
 from rampfront.consensus.events import OrderKind, Outcome
 from rampfront.consensus.member import Member
@@ -130,6 +130,15 @@
     return (call.number + 1) * 1000 + attempt if call.kind in ZONE_ORDERS else 0
 
 
+def verdict_of(effect, call, attempt):
+    """How an attempt ended, as the caller is told."""
+    if effect.outcome == Outcome.DONE and call.kind == OrderKind.RESTORE:
+        recorded = restorations.find(effect.state.restorations.get(call.body, ()), order_identity(call, attempt))
+        if recorded is not None and recorded.is_pending:
+            return Verdict.PENDING
+    return VERDICT_BY_OUTCOME[effect.outcome]
+
+
 class Call:
     """One order of an operator, over all its attempts.
 
@@ -554,7 +563,7 @@
                 operation, self.now, state.revision, state.body if state.revision else b"", state.evacuated_zones
             )
         else:
-            self.history.end(operation, self.now, VERDICT_BY_OUTCOME[effect.outcome])
+            self.history.end(operation, self.now, verdict_of(effect, call, attempt))
         if call.verdict is not None:
             return
         if effect.outcome in (Outcome.DONE, Outcome.CONFLICT):
--- a/tests/consensus/test_two_operators.py
+++ b/tests/consensus/test_two_operators.py
@@ -5,12 +5,13 @@
 """
 
 import pytest
-from test_evacuation_claims import DELIVERED, EXPLICIT, LOST, Scene
+from core_fixtures import PlacedOrder
+from test_evacuation_claims import DELIVERED, EXPLICIT, LOST, RETRY_WINDOW_MS, Scene
 
 from rampfront.consensus import restorations as r
 from rampfront.consensus.errors import RemoteProtocolError
 from rampfront.consensus.evacuation_claims import Delivery
-from rampfront.consensus.events import OrderKind
+from rampfront.consensus.events import OrderKind, Outcome
 from rampfront.consensus.identifiers import MS
 from rampfront.consensus.record import decode_record
 
@@ -29,6 +30,11 @@
     return scene
 
 
+def restore_once(scene: Scene, identity: int) -> Outcome:
+    """Sends one attempt to restore the zone, and returns its outcome."""
+    return scene.attempt(PlacedOrder(OrderKind.RESTORE, "hall", scene.safety_checker.newest_acknowledged()), identity)
+
+
 def restarted(scene: Scene) -> None:
     """All members lose power at the same moment, and return."""
     for node in scene.nodes:
@@ -155,6 +161,34 @@
     assert [claim.identity for claim in scene.evacuation.claims] == [scene.accepted[C]]
 
 
+def test_a_late_copy_of_a_restoration_ends_no_hold_once_the_answer_of_a_frozen_node_is_reported() -> None:
+    """Guards against a copy that is recorded as a possible repeat, and counts as another operator's later."""
+    scene = both_hold()
+    scene.restore(FIRST)  # read by its caller, but its node stands still
+    scene.wait(3000)
+    assert restore_once(scene, SECOND) == Outcome.NEEDS_REPEAT
+    scene.wait(RETRY_WINDOW_MS)
+    scene.report(DELIVERED, FIRST)
+    assert not scene.reopens_within(60000)
+    scene.restore(THIRD)
+    assert not scene.is_evacuated
+
+
+def test_a_repeat_counts_by_the_time_of_its_first_attempt() -> None:
+    """The first attempt follows a delivered answer closely, as of a program that lost it; the second one takes long."""
+    scene = both_hold()
+    scene.restore(FIRST)
+    scene.report(DELIVERED, FIRST)
+    scene.wait(150)
+    assert restore_once(scene, SECOND) == Outcome.NEEDS_REPEAT
+    scene.wait(3000)
+    assert restore_once(scene, THIRD) == Outcome.DONE and scene.is_evacuated
+    scene.report(DELIVERED, THIRD)
+    scene.wait(1000)
+    scene.restore(FOURTH)
+    assert not scene.is_evacuated
+
+
 @pytest.mark.parametrize("apart", [RESTORE_CLOSELY_MS // 3, 1000])
 def test_a_restoration_close_behind_a_delivered_answer_may_be_a_repeat_however_late_that_is_reported(
     apart: int,
