--- a/rampfront/consensus/restorations.py
+++ b/rampfront/consensus/restorations.py
@@ -16,7 +16,7 @@
 from .errors import RemoteProtocolError
 from .evacuation_claims import IDENTITY_LIMIT, MAX_ZONES, Delivery, is_explicit
 
-MAX_RESTORATIONS = 8  # per zone; the oldest are evicted first
+MAX_RESTORATIONS = 8  # per zone
 _COLUMNS = 3  # of a restoration
 
 
@@ -62,8 +62,13 @@
 
 
 def with_new(restorations: Restorations, new: Restoration) -> Restorations:
-    """Returns the restorations with a new one appended."""
-    return (*restorations, new)[-MAX_RESTORATIONS:]
+    """Returns the restorations with a new one appended; the oldest one is evicted unless a repeat of it may come."""
+    extended = (*restorations, new)
+    if len(extended) <= MAX_RESTORATIONS:
+        return extended
+    kept = last_unnamed(extended)
+    evicted = next(each for each in extended if each is not kept)
+    return tuple(each for each in extended if each is not evicted)
 
 
 def without_pending(restorations: Restorations) -> Restorations:
--- a/tests/consensus/test_two_operators.py
+++ b/tests/consensus/test_two_operators.py
@@ -229,6 +229,15 @@
     assert not scene.is_evacuated
 
 
+def test_named_restorations_do_not_evict_the_one_that_may_be_repeated() -> None:
+    rows: r.Restorations = ()
+    for identity in (FIRST, *range(EXPLICIT, EXPLICIT + 2 * r.MAX_RESTORATIONS)):
+        rows = r.with_new(rows, r.Restoration(identity))
+    assert len(rows) == r.MAX_RESTORATIONS and r.last_unnamed(rows) == rows[0] == r.Restoration(FIRST)
+    assert rows[-1].identity == EXPLICIT + 2 * r.MAX_RESTORATIONS - 1
+    assert r.last_unnamed(r.with_new(rows, r.Restoration(SECOND))) == r.Restoration(SECOND)
+
+
 def test_restorations_are_stored_and_read_back() -> None:
     scene = both_hold()
     scene.restore(FIRST)
