The soak of zones cuts nodes off from the others

Cause: partitions were not played with two operators a zone. Change: runs in which one node after the other is cut off, by the laboratory's relay; cuts overlap. A node that was cut off is out of touch until InTouch behind it.

--- a/rampfront/lab/system/zone_soak.py
+++ b/rampfront/lab/system/zone_soak.py
@@ -2,8 +2,8 @@
 
 Each operator evacuates its zone, holds it, restores it and rests, again and again, whatever the other one does. It
 gives up an attempt after a second without an answer and repeats the order at another node. A run is undisturbed, or
-its nodes are stopped, frozen, killed and restarted, or all are killed at once, also with a lost disk.
-`zone_judge.py` judges it by the requests that reached servers.
+its nodes are stopped, frozen, killed and restarted, all are killed at once, also with a lost disk,
+or are cut off from the others. `zone_judge.py` judges it by the requests that reached servers.
 """
 
 from __future__ import annotations
@@ -46,6 +46,7 @@
 _LAST_REQUESTS_S = 14.0  # the time in which a zone opens, and some requests after it
 _KEY_BITS = 64
 _SECONDS_BETWEEN_KILLS = 9.0
+_MIN_CUT_S, _MAX_CUT_S = 1.0, 8.0  # for which a node is cut off, and between the beginnings of two cuts
 _MAX_MEMBERS_DOWN = 1
 
 
@@ -56,6 +57,7 @@
     SERIES = "series"
     ALL_KILLED = "all killed"
     DISK_LOST = "all killed, a disk lost"
+    CUT = "cut off"
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +158,7 @@
 
     def _start_troubles(self) -> list[asyncio.Task[None]]:
         match self.manners.trouble:
-            case Trouble.NONE:
+            case Trouble.NONE | Trouble.CUT:  # a cut is a fault of the plan
                 return []
             case Trouble.ALL_KILLED | Trouble.DISK_LOST:
                 return [self.loop.create_task(self._kill_all_repeatedly())]
@@ -218,17 +220,27 @@
     """Returns how the operators of a seed's run behave."""
     rng = Random(f"zone-soak/{seed}/manners")
     return Manners(
-        rng.choice((Trouble.NONE, Trouble.SERIES, Trouble.SERIES, Trouble.ALL_KILLED, Trouble.DISK_LOST)),
+        rng.choice((*Trouble, Trouble.SERIES)),
         rng.choice((Departure.CLOSES, Departure.RESETS)),
         rng.choice((0.0, 0.0, 0.4)),
     )
 
 
-def draw_plan(seed: int, size: SoakSize) -> plans.Experiment:
+def _draw_cuts(rng: Random, nodes: int, seconds: float) -> list[dict[str, Any]]:
+    """Returns the faults of a run in which one node after the other is cut off from all others; cuts may overlap."""
+    cuts, at_s = [], rng.uniform(0.0, _MAX_CUT_S)
+    while at_s < seconds:
+        target = f"node:{rng.randrange(nodes)}"
+        cuts.append({"kind": "cut", "target": target, "at_s": at_s, "for_s": rng.uniform(_MIN_CUT_S, _MAX_CUT_S)})
+        at_s += rng.uniform(_MIN_CUT_S, _MAX_CUT_S)
+    return cuts
+
+
+def draw_plan(seed: int, size: SoakSize, trouble: Trouble = Trouble.NONE) -> plans.Experiment:
     """Returns the experiment of a seed: servers and clients in all zones, one member of the core in each."""
     rng = Random(f"zone-soak/{seed}")
-    counts = Counter(list(_ZONES))
-    for _ in range((size.nodes or _DEFAULT_NODES) - len(_ZONES)):
+    counts, nodes = Counter(list(_ZONES)), size.nodes or _DEFAULT_NODES
+    for _ in range(nodes - len(_ZONES)):
         counts[rng.choice(list(_ZONES))] += 1
     table = {
         "name": f"zone-soak-{seed}",
@@ -243,6 +255,7 @@
         "routes": [{"name": "read", "service": "reads"}],
         "tenants": [{"name": "acme"}],
         "streams": [{"name": "reads", "route": "read", "rate": _REQUEST_RATE, "kept": 0.9}],
+        "faults": _draw_cuts(rng, nodes, size.seconds) if trouble is Trouble.CUT else [],
         "guarantees": {
             "Grace": "2s",
             "EmptyZone": plans.format_ms(1000 * _EVACUATED_WITHIN_S),
@@ -258,6 +271,7 @@
     terms = system.terms
     stretch = 0 if system.manners.trouble is Trouble.NONE else terms.stretch
     bounds = Bounds(terms.empty_zone + stretch, terms.in_touch)
+    _note_cuts(system)
     nodes = {one.id: one.node for one in system.observed.tries}
     broken = {}
     for name, zone in system.zones.items():
@@ -271,6 +285,20 @@
     return broken
 
 
+def _note_cuts(system: ZoneSoakSystem) -> None:
+    """Records the nodes that were cut off as disturbed, at the beginning and the end of each cut and in between."""
+    begun: dict[tuple[int, str], int] = {}
+    for event in system.events:
+        key, at = (event.number, event.target), system.started_at + event.at
+        if event.on:
+            begun[key] = at
+            continue
+        node = system.nodes[int(event.target.partition(":")[2])]
+        times = system.disturbed.setdefault(node.ip, [])
+        times.extend(range(begun[key], at, system.terms.in_touch))
+        times.append(at)
+
+
 def _store(system: ZoneSoakSystem, folder: Path) -> None:
     """Writes the attempts and the holds, to be compared with the logs of the nodes."""
     attempts: list[AttemptRecord] = system.caller.attempts
@@ -303,7 +331,7 @@
         result.arrivals = sum(len(zone.arrivals) for zone in system.zones.values())
 
     try:
-        plan = draw_plan(seed, size)
+        plan = draw_plan(seed, size, chosen.trouble)
         runs.run_system(lambda loop, path: ZoneSoakSystem(loop, plan, path, chosen), plan, folder, run_and_judge)
     except RunFailedError as error:
         result.error = str(error)
