--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -277,9 +277,7 @@
     kind, zone, identity = fields
     if kind not in REPORT_KINDS:
         raise MalformedMessageError("order: unknown kind of report")
-    if type(identity) is not int or not 0 < identity < IDENTITY_LIMIT:
-        raise MalformedMessageError("order: invalid identity")
-    return kind, (_check_zone(zone), identity)
+    return kind, _check_claim((zone, identity))
 
 
 def _check_empty(body: object) -> None:
--- a/tests/consensus/test_two_operators.py
+++ b/tests/consensus/test_two_operators.py
@@ -35,14 +35,17 @@
     return scene.attempt(PlacedOrder(OrderKind.RESTORE, "hall", scene.safety_checker.newest_acknowledged()), identity)
 
 
-def restarted(scene: Scene) -> None:
-    """All members lose power at the same moment, and return."""
-    for node in scene.nodes:
-        scene.stop(node, power=True)
-    scene.wait(300)
-    for node in scene.nodes:
-        scene.start(node, False)
-    scene.wait(3000)
+def disturb(scene: Scene, change: str) -> None:
+    """Another member leads ("leader"), or all lose power at the same moment and return ("power")."""
+    if change == "leader":
+        scene.change_leader()
+    elif change == "power":
+        for node in scene.nodes:
+            scene.stop(node, power=True)
+        scene.wait(300)
+        for node in scene.nodes:
+            scene.start(node, False)
+        scene.wait(3000)
 
 
 @pytest.mark.parametrize("delivered", [True, False])
@@ -81,10 +84,7 @@
     scene = both_hold()
     scene.restore(FIRST)  # its answer is lost with its node
     repeated_at = scene.now + late * MS
-    if change == "leader":
-        scene.change_leader()
-    elif change == "power":
-        restarted(scene)
+    disturb(scene, change)
     scene.advance(max(0, repeated_at - scene.now))
     scene.restore(SECOND)
     scene.report(DELIVERED, SECOND)
@@ -101,10 +101,7 @@
     scene.restore(FIRST)
     scene.evacuate(B)
     scene.report(DELIVERED, B)
-    if change == "leader":
-        scene.change_leader()
-    elif change == "power":
-        restarted(scene)
+    disturb(scene, change)
     scene.restore(SECOND)
     assert not scene.reopens_within(60000)
     scene.restore(THIRD)
@@ -115,10 +112,7 @@
 def test_the_repeat_of_a_named_restoration_ends_no_hold_of_another_operator(change: str) -> None:
     scene = both_hold()
     scene.restore(EXPLICIT + FIRST)
-    if change == "leader":
-        scene.change_leader()
-    elif change == "power":
-        restarted(scene)
+    disturb(scene, change)
     scene.wait(3000)
     scene.restore(EXPLICIT + FIRST)
     assert not scene.reopens_within(60000)
@@ -208,10 +202,7 @@
 @pytest.mark.parametrize("change", ["none", "leader", "power"])
 def test_an_operator_ends_a_hold_by_its_name_and_a_repeat_ends_no_other(change: str) -> None:
     scene = both_hold()
-    if change == "leader":
-        scene.change_leader()
-    elif change == "power":
-        restarted(scene)
+    disturb(scene, change)
     for _ in range(2):
         scene.submit(OrderKind.END_CLAIM, A)
         assert scene.evacuation.operators == 1
