--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -137,7 +137,7 @@
         if self.request is not None:
             self._owner.counts["abandoned"] += 1
         if self._on_delivery is not None:
-            is_reset = error is not None and self._unacknowledged_bytes() <= _FIN_BYTES
+            is_reset = error is not None and self._unacknowledged_bytes(if_unknown=_FIN_BYTES + 1) <= _FIN_BYTES
             self._report_delivery(Delivery.RESET if is_reset else Delivery.UNKNOWN)
         self.request = None
         self.closing = True
@@ -292,15 +292,18 @@
         if on_delivery is not None:
             on_delivery(delivery)
 
-    def _unacknowledged_bytes(self) -> int:
-        """The number of bytes that the peer's kernel has not acknowledged; 0 if the transport has no socket."""
+    def _unacknowledged_bytes(self, if_unknown: int = 0) -> int:
+        """The number of bytes that the peer's kernel has not acknowledged; 0 if the transport has no socket.
+
+        `if_unknown`: returned if this machine's kernel does not tell.
+        """
         peer_socket = self.transport.get_extra_info("socket")
         if peer_socket is None:
             return 0
         try:
             answer = fcntl.ioctl(peer_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
         except OSError:
-            return 0
+            return if_unknown
         return int(_INT.unpack(answer)[0])
 
     def _finish_request(self) -> None:
