A member looks only at the restorations that changed; one test for a lost claim

Cause: each committed state, a configuration too, made every member walk through the restorations of all zones; and _has_room repeated Evacuation.has_lost_claim, which nobody called any more. Found by reading the whole change once more. Change: only zones whose restorations differ are looked at; _has_room calls has_lost_claim. Behaviour is as before.

--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -13,7 +13,7 @@
 
 from rampfront.terms import slotted
 
-from .evacuation_claims import IDENTITY_LIMIT, lost_claim
+from .evacuation_claims import IDENTITY_LIMIT
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
 from .state import MAX_BODY_BYTES, MAX_NAMES, MAX_NUMBER, MAX_ZONE_CHARS, State
@@ -120,7 +120,7 @@
     if zone not in entry.evacuated_zones:
         return len(entry.evacuated_zones) < MAX_EVACUATED_ZONES
     evacuation = entry.evacuation_of(zone)
-    return not evacuation.is_full() or evacuation.has_claim(identity) or lost_claim(evacuation.claims) is not None
+    return not evacuation.is_full() or evacuation.has_claim(identity) or evacuation.has_lost_claim()
 
 
 def _configuration(body: object) -> Configuration | None:
--- a/rampfront/consensus/zone_order_history.py
+++ b/rampfront/consensus/zone_order_history.py
@@ -111,18 +111,22 @@
         """Records the restorations that are new, or newly known to be delivered, in the state `after`."""
         for zone, rows in after.restorations.items():
             known = before.restorations.get(zone, ())
-            for restoration in rows if rows != known else ():
-                order = ZoneOrder(OrderKind.RESTORE, zone, restoration.identity)
+            if rows == known:
+                continue
+            for restoration in rows:
                 if restorations.find(known, restoration.identity) is None:
-                    self.note(order, now)
-        self.note_deliveries(after, now)
+                    self.note(ZoneOrder(OrderKind.RESTORE, zone, restoration.identity), now)
+            self._note_zone_deliveries(zone, rows, now)
 
     def note_deliveries(self, state: State, now: TimeNs) -> None:
         """Records the restorations that are delivered in a state, committed or not: their answers were, anyway."""
         for zone, rows in state.restorations.items():
-            for restoration in rows:
-                if restoration.delivery is Delivery.DELIVERED:
-                    self.note_delivered(ZoneOrder(OrderKind.RESTORE, zone, restoration.identity), now)
+            self._note_zone_deliveries(zone, rows, now)
+
+    def _note_zone_deliveries(self, zone: str, rows: restorations.Restorations, now: TimeNs) -> None:
+        for restoration in rows:
+            if restoration.delivery is Delivery.DELIVERED:
+                self.note_delivered(ZoneOrder(OrderKind.RESTORE, zone, restoration.identity), now)
 
     def _observe_zone(
         self, zone: str, before: Evacuation, after: Evacuation, has_older_leader: bool, now: TimeNs
