--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,9 @@
 of its own. Those marked with the same second argument share a group and run one after another, as each needs a core.
 The other tests are grouped by file. A run of selected files or tests, a run with `-n` and a run without pytest-xdist
 are not distributed here.
+
+Tests marked `alone` measure a process, which other tests beside them would disturb. The complete run leaves them out;
+`pytest -m alone` plays them, one after another.
 """
 
 import asyncio
@@ -24,8 +27,11 @@
     if "PYTEST_XDIST_WORKER" in os.environ or hasattr(config, "workerinput"):
         return  # A worker that started workers of its own would never end.
     complete_run = config.args_source is pytest.Config.ArgsSource.TESTPATHS
+    if complete_run and not config.option.markexpr:
+        config.option.markexpr = "not alone"
     if (
         complete_run
+        and config.option.markexpr != "alone"
         and config.pluginmanager.hasplugin("xdist")
         and config.option.numprocesses is None
         and not config.option.usepdb
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -39,6 +39,13 @@
         known_red.read(text)
 
 
+def test_lines_of_crowds_do_not_count_against_the_maximum() -> None:
+    crowds = [f"tests/crowds/test_here.py::test_{number} | a cause | issue 1" for number in range(5)]
+    assert len(known_red.read("\n".join([LINE] * 3 + crowds))) == 8
+    with pytest.raises(ValueError, match="KNOWN-RED"):
+        known_red.read("\n".join([LINE] * 4 + crowds))
+
+
 @pytest.mark.parametrize(
     "body, code, says",
     [
