Heads, trailers and empty lines without end are refused at the limit of the head

Cause: the raw bytes of a request were compared with one limit, head plus body, and only once the parser had reported its beginning; chunk lines counted as body. Change: RequestSize counts the raw bytes beside the body (empty lines in front, head, extensions, trailers) for both readers: the head's limit until the head is complete, as much again behind it. The line of a chunk is part of any chunked body and counts for nothing.

--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -16,11 +16,11 @@
 from .http_status import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
-    HEADER_FIELDS_TOO_LARGE,
     REQUEST_TIMEOUT,
     HttpStatusError,
 )
 from .limits import NetworkLimits
+from .request_size import RequestSize
 
 _MAX_LENGTH_DIGITS = 9
 _NO_FIELDS: dict[bytes, bytes] = {}  # shared by all connections, never modified
@@ -34,7 +34,6 @@
     counts: dict[str, int]
     limits: NetworkLimits
     read_buffer: memoryview
-    max_request_bytes: int
     swept_ns: int
     closes_connections: bool
 
@@ -103,7 +102,7 @@
         "throttled",
         "fresh",
         "_message_complete",
-        "_received_bytes",
+        "_size",
         "_keep_alive",
     )
 
@@ -126,7 +125,7 @@
         self.throttled = False
         self.fresh = True
         self._message_complete = False
-        self._received_bytes = 0  # of the current request, with all framing
+        self._size = RequestSize()
         self._keep_alive = True
 
     @property
@@ -184,12 +183,11 @@
         """Parses the bytes that were read into the buffer."""
         if self.ignores_input:
             return
-        self._received_bytes += nbytes
+        self._size.received_bytes += nbytes
         assert self.parser is not None
         error = feed_request(self.parser, self.listener.read_buffer[:nbytes])
-        if self.message_begun and error is None and self._received_bytes > self.listener.max_request_bytes:
-            # The parser reports a header field only once it is complete, so the raw bytes are limited as well.
-            error = HttpStatusError(HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        if error is None and not self._message_complete:
+            error = self._size.check(self.listener.limits.max_head_bytes)
         complete = self._message_complete
         self._message_complete = False
         if error is not None:  # a complete request before the error is refused too, as its length may be wrong
@@ -234,15 +232,21 @@
     def on_headers_complete(self) -> None:
         """Checks the declared length of the body, and sends 100 Continue if the client expects it."""
         self.section_bytes = 0
+        self._size.head_completed()
         length = self.fields.get(b"content-length", b"0")  # the parser accepts digits only
         if len(length) > _MAX_LENGTH_DIGITS or int(length) > self.listener.limits.max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
         if b"expect" in self.fields:
             self.transport.write(CONTINUE_RESPONSE)
 
+    def on_chunk_header(self) -> None:
+        """Notes a chunk of the body."""
+        self._size.chunk_begun()
+
     def on_body(self, part: bytes) -> None:
         """Appends a part of the body."""
         self.section_bytes += len(part)
+        self._size.body_received(len(part))
         if self.section_bytes > self.listener.limits.max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
         self.body_parts.append(part)
@@ -252,7 +256,7 @@
         assert self.parser is not None
         self.message_begun = False
         self._message_complete = True
-        self._received_bytes = 0
+        self._size.reset()
         if self.fresh:
             self.fresh = False
             self.listener.connection_activated()
--- a/rampfront/net/client_listener.py
+++ b/rampfront/net/client_listener.py
@@ -37,7 +37,6 @@
         closes_connections: whether each response closes its connection, which is so while closing or draining.
         swept_ns: the time of the last sweep, which is precise enough for the ages of connections.
         read_buffer: the buffer that all connections read into.
-        max_request_bytes: the maximum size of a request, head and body.
         clients: the open connections, oldest first.
         active_clients: the number of them that have sent a complete request.
     """
@@ -67,7 +66,6 @@
         self.closes_connections = False
         self.swept_ns = clock()
         self.read_buffer = memoryview(bytearray(limits.read_buffer_bytes))
-        self.max_request_bytes = limits.max_head_bytes + limits.max_body_bytes
         self.clients: dict[ClientConnection, None] = {}
         self.active_clients = 0
         self._retired: Callable[[], None] | None = None
--- a/rampfront/net/http_request_reader.py
+++ b/rampfront/net/http_request_reader.py
@@ -17,6 +17,7 @@
     SERVICE_UNAVAILABLE,
     HttpStatusError,
 )
+from .request_size import RequestSize
 
 _MAX_LENGTH_DIGITS = 20
 
@@ -85,7 +86,7 @@
         "_max_head_bytes",
         "_max_body_bytes",
         "_max_received_bytes",
-        "_received_bytes",
+        "_size",
         "_section_bytes",
         "_content_length",
         "_expects_continue",
@@ -115,7 +116,7 @@
         self._max_head_bytes = max_head_bytes
         self._max_body_bytes = 0
         self._max_received_bytes = 0  # of the raw request, set once its head is complete
-        self._received_bytes = 0
+        self._size = RequestSize()
         self._section_bytes = 0  # of the head, then of the body
         self._content_length = 0
         self._expects_continue = False
@@ -131,7 +132,7 @@
             The error, or None. Even with an error a request may be `complete`, if it precedes the invalid bytes.
         """
         assert self._parser is not None
-        self._received_bytes += len(data)
+        self._size.received_bytes += len(data)
         return feed_request(self._parser, data) or self._check_received()
 
     def take(self) -> RawRequest:
@@ -189,6 +190,7 @@
     def on_headers_complete(self) -> None:
         """Checks the declared length of the body against the limits."""
         self.head_complete = True
+        self._size.head_completed()
         self._section_bytes = 0
         self._max_body_bytes = self._body_limit(self._target)
         framing_bytes = self._max_body_bytes >> FRAMING_SHIFT
@@ -198,9 +200,14 @@
         self._budget.check(self._content_length)
         self.continue_wanted = self._expects_continue
 
+    def on_chunk_header(self) -> None:
+        """Notes a chunk of the body."""
+        self._size.chunk_begun()
+
     def on_body(self, part: bytes) -> None:
         """Appends a part of the body."""
         self._section_bytes += len(part)
+        self._size.body_received(len(part))
         if self._section_bytes > self._max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
         self._budget.reserve(len(part))
@@ -212,7 +219,7 @@
         assert self._parser is not None
         self.message_begun = False
         self.complete = True
-        self._received_bytes = 0
+        self._size.reset()
         if not self._parser.should_keep_alive():
             self.last = True
 
@@ -223,12 +230,9 @@
             raise HttpStatusError(HEADER_FIELDS_TOO_LARGE, "the head is too large")
 
     def _check_received(self) -> HttpStatusError | None:
-        """Limits the raw bytes: the parser reports a header field or a chunk extension only once it is complete."""
-        if not self.message_begun:
+        """Limits the raw bytes, of which the parser reports nothing until a field or a chunk is complete."""
+        if self.complete:
             return None
-        if not self.head_complete:
-            if self._received_bytes > self._max_head_bytes:
-                return HttpStatusError(HEADER_FIELDS_TOO_LARGE, "the head is too large")
-        elif self._received_bytes > self._max_received_bytes:
+        if self.message_begun and self.head_complete and self._size.received_bytes > self._max_received_bytes:
             return HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
-        return None
+        return self._size.check(self._max_head_bytes)
--- a/rampfront/proxy/client_front.py
+++ b/rampfront/proxy/client_front.py
@@ -157,7 +157,6 @@
             request_read_timeout_ns=max(caps.header_wait, self.limits.request_read_timeout_ns),
         )
         self.max_head_bytes = caps.header_bytes
-        self.max_request_bytes = self.limits.max_head_bytes + self.limits.max_body_bytes
 
     def ready(self) -> bool:
         """Whether new clients are accepted."""
