One memory account for requests and calls, from the machine's MemoryMb; stalled senders give way

Callers saw: eight bodies of 64 MiB that stop a byte short took a node of 200 MB to 274 MB, eight whole ones to 341, a hundred of 8 MiB to 300, with 503 for an ordinary request; operators' calls and requests together 255. Cause: bodies were counted by two constants (96 MiB at the front, 64 MiB an operators' address) that know neither the machine nor each other nor what an object costs, and whoever came first kept his share until the time-out. Change: MemoryAccount (net/memory_account.py): one for the process, three quarters of what MemoryMb leaves beside the program. A request is charged what it occupies: head twice with its fields' objects, the declared length at the head, the body as it grows. Who gives way: the largest charge whose peer has stalled, that is, whose pace would not bring it within its time-out (bytes buy time; a byte now and then does not); if there is none, whoever asks is refused with 503, which has not run, and Retry-After. No charge may exceed four times what it leaves, so small requests find memory beside any number of large ones. The budget constants are gone. The listener of calls, the edge node (limits.memory_mb, until now read but unused) and its admin address use the same account.

--- a/rampfront/edge/admin.py
+++ b/rampfront/edge/admin.py
@@ -15,6 +15,7 @@
 from ..net.http_server import HttpServer
 from ..net.http_status import OK, SERVICE_UNAVAILABLE
 from ..net.limits import HttpServerLimits, NetworkLimits
+from ..net.memory_account import MemoryAccount
 from ..net.transaction_listener import TransactionListener
 from .node_context import NodeContext
 
@@ -33,7 +34,7 @@
         """
         driver = context.driver
         products = context.configuration.names.products
-        server_limits = _server_limits(context.configuration.limits)
+        server_limits = _server_limits(context.configuration.limits, listener.memory)
         self._driver = driver
         self._gateway = context.gateway
         self._listener = listener
@@ -102,10 +103,11 @@
     return Response(status, body, content_type=TEXT)
 
 
-def _server_limits(limits: NetworkLimits) -> HttpServerLimits:
+def _server_limits(limits: NetworkLimits, memory: MemoryAccount) -> HttpServerLimits:
     """Returns the limits of the operators' listener. Its timeouts are checked by the node's sweep, not by its own."""
     timeout_ns = limits.admin_timeout_ns
     return HttpServerLimits(
+        memory,
         max_head_bytes=limits.max_head_bytes,
         max_body_bytes=limits.max_body_bytes,
         max_connections=limits.max_admin_connections,
--- a/rampfront/edge/configuration.py
+++ b/rampfront/edge/configuration.py
@@ -70,6 +70,7 @@
         names: the announced names of products and plans, with their indices.
         zones: the announced zones, name to index.
         limits: the limits of the process.
+        memory_mb: the memory of the machine.
         reports_load: whether servers report their load.
         log_levels: the `levels` argument of `Log`.
         syslog: the settings of the syslog sender.
@@ -90,6 +91,7 @@
     names: AnnouncedNames
     zones: Mapping[str, int]
     limits: NetworkLimits
+    memory_mb: int
     reports_load: bool
     log_levels: dict[str, str]
     syslog: SyslogOptions | None
@@ -132,7 +134,8 @@
     settings = check_value(file.get("settings"), OBJECT, "settings")
     check_settings(settings)
     names, terms = _read_announced(settings)
-    descriptors = _read_descriptors(file.get("limits", {}), max_descriptors)
+    machine = _read_machine(file.get("limits", {}))
+    descriptors = _read_descriptors(machine["sockets"], max_descriptors)
     tables = read_tables(file, names)
     mqtt = read_mqtt(tables["mqtt"], names, terms)
     descriptors = _without_mqtt_connections(descriptors, mqtt)
@@ -149,6 +152,7 @@
         names=cast(AnnouncedNames, names),
         zones=names.zones,
         limits=_compute_limits(descriptors, settings["Limits"]),
+        memory_mb=int(machine["memory_mb"]),
         reports_load=settings.get("Reporting", {}).get("How", "none") != "none",
         log_levels=_read_log_levels(file.get("log") or {}),
         syslog=read_syslog(tables["syslog"], file["name"]),
@@ -207,14 +211,16 @@
     return names, terms
 
 
-def _read_descriptors(table: object, max_descriptors: int) -> int:
-    """Returns how many file descriptors the node may use. `table`: the file's `limits`. Raises ConfigurationError."""
+def _read_machine(table: object) -> dict[str, float]:
+    """Returns the limits of the machine, by the keys of `table`, the file's `limits`. Raises ConfigurationError."""
     given = check_value(table, OBJECT, "limits")
     limits = {**_DEFAULT_LIMITS, **given}
-    for key, value in limits.items():
-        if key in _DEFAULT_LIMITS:
-            check_value(value, NUMBER, f"limits.{key}")
-    descriptors = int(min(limits["sockets"], max_descriptors))
+    return {key: check_value(limits[key], NUMBER, f"limits.{key}") for key in _DEFAULT_LIMITS}
+
+
+def _read_descriptors(sockets: float, max_descriptors: int) -> int:
+    """Returns how many file descriptors the node may use. `sockets`: as configured. Raises ConfigurationError."""
+    descriptors = int(min(sockets, max_descriptors))
     if descriptors < _MIN_DESCRIPTORS:
         expected = f"{_MIN_DESCRIPTORS} or more, and so should the process's limit of open files"
         raise ConfigurationError.for_key("limits.sockets", expected, descriptors)
--- a/rampfront/edge/node.py
+++ b/rampfront/edge/node.py
@@ -17,6 +17,7 @@
 
 from ..net.clock import Clock
 from ..net.decision_driver import DecisionDriver
+from ..net.memory_account import machine_account
 from ..net.server_connection_pool import ServerConnectionPool
 from ..net.startup_signals import StartupSignals
 from ..net.timers import TimerQueue
@@ -78,6 +79,7 @@
         limits = configuration.limits
         self.driver: DecisionDriver[TransactionExchange]
         self.driver = DecisionDriver(TimerQueue(loop, clock), configuration.terms, configuration.seed, limits, log)
+        memory = machine_account(clock, configuration.memory_mb, log.counts)
         servers = ServerConnectionPool(loop, self.driver, limits, configuration.reports_load, log)
         gateway = TransactionGateway(self.driver, limits, configuration.names, configuration.terms)
         self.driver.servers = servers
@@ -85,7 +87,7 @@
         draw = random.Random(configuration.seed ^ 1).uniform
         self._context = NodeContext(loop, configuration, self.driver, gateway, draw, log)
         self._reload = reload
-        self._listener = TransactionListener(loop, gateway, limits, log)
+        self._listener = TransactionListener(loop, gateway, limits, memory, log)
         self._discovery = DiscoveryClient(self._context)
         self._counter: QuotaCounterClient | None = None
         self._mqtt_listener: SweptListener | None = None
--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -21,9 +21,11 @@
     HttpStatusError,
 )
 from .limits import NetworkLimits
+from .memory_account import FIELD_COST_BYTES, HEAD_COPIES, MemoryAccount, MemoryCharge, MemoryShortError
 from .request_size import RequestSize
 
 _MAX_LENGTH_DIGITS = 9
+_MAX_COPIED_BYTES = 64 << 10  # a larger body is written as it is, not copied behind its head
 _NO_FIELDS: dict[bytes, bytes] = {}  # shared by all connections, never modified
 
 
@@ -33,6 +35,7 @@
     clock: Callable[[], int]
     counts: dict[str, int]
     limits: NetworkLimits
+    memory: MemoryAccount
     read_buffer: memoryview
     swept_ns: int
     closes_connections: bool
@@ -73,6 +76,7 @@
         fields: the header fields that the protocol uses, by lower-case name.
         body: the body, as far as it was received.
         section_bytes: bytes of the head so far, then of the body.
+        charge: the memory of the request, then of its response.
         exchange: the exchange whose answer is pending.
         phase_since_ns: when the current phase began (`connection_timeouts`).
         message_begun: whether a request has begun and is not complete.
@@ -92,6 +96,7 @@
         "fields",
         "body",
         "section_bytes",
+        "charge",
         "exchange",
         "phase_since_ns",
         "message_begun",
@@ -115,6 +120,7 @@
         self.fields = _NO_FIELDS
         self.body = BodyBuffer()
         self.section_bytes = 0
+        self.charge: MemoryCharge = listener.memory.open()
         self.exchange: AnyExchange | None = None
         self.phase_since_ns = 0
         self.message_begun = False
@@ -169,6 +175,7 @@
             exchange.detach_client()
             self.listener.counts["left"] += 1
             self.listener.client_left(exchange)
+        self.listener.memory.close(self.charge)
         self.parser = None  # breaks the reference cycle
 
     def eof_received(self) -> bool:
@@ -188,8 +195,12 @@
         error = feed_request(self.parser, self.listener.read_buffer[:nbytes])
         if error is None and not self._message_complete:
             error = self._size.check(self.listener.limits.max_head_bytes)
+        if error is None:
+            error = self._charge_request(nbytes)
         complete = self._message_complete
         self._message_complete = False
+        if complete:
+            self._size.reset()
         if error is not None:  # a complete request before the error is refused too, as its length may be wrong
             self.refuse(error)
         elif complete:  # not in the parser's callbacks, which turn every exception into a parser error
@@ -199,6 +210,10 @@
         """The client reads its response too slowly: stops reading requests until it has caught up."""
         self.write_paused = True
         self.phase_since_ns = self.listener.swept_ns
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes > self.charge.size:  # of a stream, which has no charge before
+            self.charge.set(unsent_bytes)
+        self.charge.sending(self, self.listener.limits.write_timeout_ns, unsent_bytes)
         if not self.closing:
             self.transport.pause_reading()
 
@@ -206,6 +221,7 @@
         """The client has read its response: reads requests again."""
         self.write_paused = False
         self.phase_since_ns = self.listener.swept_ns
+        self.charge.note_unsent(self.transport.get_write_buffer_size())
         if not self.closing:
             self.transport.resume_reading()
 
@@ -231,11 +247,12 @@
 
     def on_headers_complete(self) -> None:
         """Checks the declared length of the body, and sends 100 Continue if the client expects it."""
+        self._size.head_completed(self.section_bytes)
         self.section_bytes = 0
-        self._size.head_completed()
         length = self.fields.get(b"content-length", b"0")  # the parser accepts digits only
         if len(length) > _MAX_LENGTH_DIGITS or int(length) > self.listener.limits.max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
+        self.charge.raise_to(self._head_cost() + int(length))
         if b"expect" in self.fields:
             self.transport.write(CONTINUE_RESPONSE)
 
@@ -256,7 +273,6 @@
         assert self.parser is not None
         self.message_begun = False
         self._message_complete = True
-        self._size.reset()
         if self.fresh:
             self.fresh = False
             self.listener.connection_activated()
@@ -265,7 +281,9 @@
     # ---- called by the sweep
 
     def note_progress(self, now_ns: int) -> None:
-        """Does nothing: the write timeout applies to the whole response, whatever its progress."""
+        """Notes what the client has read. The write timeout applies to the whole response, whatever its progress."""
+        if self.charge.is_sending:
+            self.charge.note_unsent(self.transport.get_write_buffer_size())
 
     def time_out(self, phase: Phase) -> None:
         """Ends the connection after the timeout of `phase`."""
@@ -294,10 +312,17 @@
         self.exchange = None
         self.phase_since_ns = self.listener.clock()
         if self.closing:
+            self.charge.release()
             return
         last = self._closes_after_response()
         connection_field = b"Connection: close\r\n" if last else b""
-        self.transport.write(b"%sContent-Length: %d\r\n%s\r\n%s" % (head, len(body), connection_field, body))
+        head = b"%sContent-Length: %d\r\n%s\r\n" % (head, len(body), connection_field)
+        if len(body) > _MAX_COPIED_BYTES:
+            self.transport.writelines((head, body))
+        else:
+            self.transport.write(head + body)
+        self.charge.set(len(head) + len(body))
+        self.charge.sending(self, self.listener.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         if last:
             self.close()
 
@@ -309,7 +334,17 @@
         if not self.closing:
             self.ignores_input = True
             self.message_begun = False
+            self.body.clear()
+            self.parser = None  # it keeps an incomplete field
             self.listener.request_refused(self, error)
+            self.fields = _NO_FIELDS
+
+    def give_way(self) -> None:
+        """Ends a request that its client does not finish, or a response that it does not read: memory is short."""
+        if self.message_begun:
+            self.refuse(MemoryShortError())
+        else:
+            self.abort()
 
     def close(self) -> None:
         """Closes the connection once the write buffer is flushed; the sweep aborts it if that takes too long."""
@@ -324,6 +359,28 @@
         self.ignores_input = True
         self.transport.abort()
 
+    def _charge_request(self, received_bytes: int) -> HttpStatusError | None:
+        """Charges the request as far as it was received. Returns the error if there is no memory for it."""
+        if not self.message_begun and not self._message_complete:
+            return None
+        try:
+            self.charge.raise_to(self._head_cost() + len(self.body))
+        except MemoryShortError as error:
+            return error
+        if self._message_complete:
+            self.charge.received()
+        else:
+            self.charge.receiving(self, self.listener.limits.request_read_timeout_ns, received_bytes)
+        return None
+
+    def _head_cost(self) -> int:
+        """The memory of the head, as far as it was received."""
+        return HEAD_COPIES * self._size.head_bytes + FIELD_COST_BYTES * self._field_count()
+
+    def _field_count(self) -> int:
+        """The number of header fields that are kept."""
+        return len(self.fields)
+
     def _closes_after_response(self) -> bool:
         """Whether the connection closes after the next response."""
         return not self._keep_alive or self.ignores_input or self.over_limit or self.listener.closes_connections
--- a/rampfront/net/client_listener.py
+++ b/rampfront/net/client_listener.py
@@ -14,10 +14,12 @@
 from .decision_ports import RetryStormControl
 from .event_log import EventLog
 from .exchange import AnyExchange
-from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, HttpStatusError
+from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import NetworkLimits
 from .listening import open_inherited_server, open_server
+from .memory_account import MemoryAccount
 
+_RETRY_AFTER = b"Retry-After: 0.5\r\n"
 _IMMEDIATELY_NS = -1  # a timeout that every connection exceeds
 
 
@@ -28,6 +30,7 @@
         loop: the event loop.
         clock: returns the time in ns.
         limits: the limits of the process.
+        memory: the memory account of the process.
         log: the event log.
         counts: the log's counters.
         storm: throttles reconnects; set by the program if the configuration enables it.
@@ -44,7 +47,12 @@
     connection_type: type[ClientConnection]
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Callable[[], int], limits: NetworkLimits, log: EventLog
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], int],
+        limits: NetworkLimits,
+        memory: MemoryAccount,
+        log: EventLog,
     ) -> None:
         """Does not listen yet; see `listen`.
 
@@ -52,11 +60,13 @@
             loop: the event loop.
             clock: returns the time in ns.
             limits: the limits of the process.
+            memory: the memory account of the process.
             log: the event log.
         """
         self.loop = loop
         self.clock = clock
         self.limits = limits
+        self.memory = memory
         self.log = log
         self.counts = log.counts
         self.storm: RetryStormControl | None = None
@@ -176,6 +186,8 @@
             self.client_left(exchange)
         reason = REASON_PHRASES[error.status]
         head = b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n" % (error.status, reason)
+        if error.status == SERVICE_UNAVAILABLE:
+            head += _RETRY_AFTER
         connection.write_response(head, str(error).encode())
 
     # ---- limits
--- a/rampfront/net/event_log.py
+++ b/rampfront/net/event_log.py
@@ -40,6 +40,8 @@
     "links_short",
     "probes",
     "probes_failed",
+    "memory_yielded",
+    "memory_refused",
 )
 _MAX_TRACKED_SUBJECTS = 1000  # beyond this, events of new subjects are written without rate limiting
 
--- a/rampfront/net/http_request_reader.py
+++ b/rampfront/net/http_request_reader.py
@@ -1,7 +1,7 @@
 """Reads HTTP/1.1 requests from bytes, without I/O: returns complete requests, or an error with a status code.
 
 `httptools` parses the syntax. This module enforces the limits: of the head, of the body according to its endpoint, of
-the raw bytes of both, and of the bodies of all connections together (`BodyBudget`).
+the raw bytes of both, and charges what it keeps to the connection's memory (`memory_account`).
 """
 
 from collections.abc import Callable
@@ -15,41 +15,14 @@
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
     HEADER_FIELDS_TOO_LARGE,
-    SERVICE_UNAVAILABLE,
     HttpStatusError,
 )
+from .memory_account import HEAD_COPIES, MemoryCharge, MemoryShortError
 from .request_size import RequestSize
 
 _MAX_LENGTH_DIGITS = 20
 
 
-class BodyBudget:
-    """The memory limit for the request bodies of all connections together, granted in order of arrival.
-
-    Attributes:
-        used_bytes: bytes that are buffered now.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        """Starts unused. `max_bytes`: the limit of all bodies together."""
-        self.used_bytes = 0
-        self._max_bytes = max_bytes
-
-    def check(self, size: int) -> None:
-        """Raises HttpStatusError (503) if `size` more bytes would exceed the budget."""
-        if size and self.used_bytes + size > self._max_bytes:
-            raise HttpStatusError(SERVICE_UNAVAILABLE, "too many large bodies at once")
-
-    def reserve(self, size: int) -> None:
-        """Reserves `size` bytes. Raises HttpStatusError (503) if that would exceed the budget."""
-        self.check(size)
-        self.used_bytes += size
-
-    def release(self, size: int) -> None:
-        """Returns `size` bytes to the budget."""
-        self.used_bytes -= size
-
-
 IDEMPOTENCY_KEY = b"idempotency-key"  # the same on each retry of a request (IETF draft)
 
 
@@ -83,7 +56,7 @@
         "continue_wanted",
         "_parser",
         "_body_limit",
-        "_budget",
+        "_charge",
         "_max_head_bytes",
         "_max_body_bytes",
         "_max_received_bytes",
@@ -94,16 +67,15 @@
         "_target",
         "_idempotency_key",
         "_body",
-        "_reserved_bytes",
     )
 
-    def __init__(self, max_head_bytes: int, body_limit: Callable[[bytes], int], budget: BodyBudget) -> None:
+    def __init__(self, max_head_bytes: int, body_limit: Callable[[bytes], int], charge: MemoryCharge) -> None:
         """Expects the first request.
 
         Args:
             max_head_bytes: the maximum size of a head.
             body_limit: returns the maximum size of the body in bytes for a request target.
-            budget: the memory limit for the bodies of all connections.
+            charge: the memory of the connection.
         """
         self.message_begun = False
         self.head_complete = False
@@ -113,7 +85,7 @@
         self.continue_wanted = False
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._body_limit = body_limit
-        self._budget = budget
+        self._charge = charge
         self._max_head_bytes = max_head_bytes
         self._max_body_bytes = 0
         self._max_received_bytes = 0  # of the raw request, set once its head is complete
@@ -124,7 +96,6 @@
         self._target = b""
         self._idempotency_key = b""
         self._body = BodyBuffer()
-        self._reserved_bytes = 0  # of the current body in the budget
 
     def feed(self, data: bytes) -> HttpStatusError | None:
         """Parses received bytes.
@@ -134,24 +105,26 @@
         """
         assert self._parser is not None
         self._size.received_bytes += len(data)
-        return feed_request(self._parser, data) or self._check_received()
+        error = feed_request(self._parser, data)
+        if error is None and not self.complete:
+            error = self._check_received()
+        if error is None or self.complete:
+            error = self._charge_received() or error
+        if self.complete:
+            self._size.reset()
+        return error
 
     def take(self) -> RawRequest:
-        """Returns the complete request. Its part of the budget stays reserved until `release_body`."""
+        """Returns the complete request. It stays charged until the connection's response."""
         assert self._parser is not None
         request = RawRequest(self._parser.get_method(), self._target, self._body.take(), self._idempotency_key)
         self._target = b""
         return request
 
-    def release_body(self) -> None:
-        """Drops the body, and returns its part of the budget."""
-        self._budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
-        self._body.clear()
-
     def close(self) -> None:
-        """Drops the body and the parser after the connection has ended. The parser refers back to this reader."""
-        self.release_body()
+        """Drops the body and the parser once nothing more is read. The parser refers back to this reader."""
+        self._body.clear()
+        self._target = b""
         self._parser = None
 
     def on_message_begin(self) -> None:
@@ -188,14 +161,14 @@
     def on_headers_complete(self) -> None:
         """Checks the declared length of the body against the limits."""
         self.head_complete = True
-        self._size.head_completed()
+        self._size.head_completed(self._section_bytes)
         self._section_bytes = 0
         self._max_body_bytes = self._body_limit(self._target)
         framing_bytes = self._max_body_bytes >> FRAMING_SHIFT
         self._max_received_bytes = self._max_head_bytes + self._max_body_bytes + framing_bytes
         if self._content_length > self._max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
-        self._budget.check(self._content_length)
+        self._charge.raise_to(HEAD_COPIES * self._size.head_bytes + self._content_length)
         self.continue_wanted = self._expects_continue
 
     def on_chunk_header(self) -> None:
@@ -208,8 +181,6 @@
         self._size.body_received(len(part))
         if self._section_bytes > self._max_body_bytes:
             raise HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
-        self._budget.reserve(len(part))
-        self._reserved_bytes += len(part)
         self._body.append(part)
 
     def on_message_complete(self) -> None:
@@ -217,7 +188,6 @@
         assert self._parser is not None
         self.message_begun = False
         self.complete = True
-        self._size.reset()
         if not self._parser.should_keep_alive():
             self.last = True
 
@@ -227,10 +197,19 @@
         if self._section_bytes > self._max_head_bytes:
             raise HttpStatusError(HEADER_FIELDS_TOO_LARGE, "the head is too large")
 
+    def _charge_received(self) -> HttpStatusError | None:
+        """Charges what is kept of the request. Returns the error if there is no memory for it."""
+        if not self.message_begun and not self.complete:
+            return None
+        try:
+            self._charge.raise_to(HEAD_COPIES * self._size.head_bytes + len(self._body))
+        except MemoryShortError as error:
+            self.complete = False
+            return error
+        return None
+
     def _check_received(self) -> HttpStatusError | None:
         """Limits the raw bytes, of which the parser reports nothing until a field or a chunk is complete."""
-        if self.complete:
-            return None
         if self.message_begun and self.head_complete and self._size.received_bytes > self._max_received_bytes:
             return HttpStatusError(CONTENT_TOO_LARGE, "the body is too large")
         return self._size.check(self._max_head_bytes)
--- a/rampfront/net/http_server.py
+++ b/rampfront/net/http_server.py
@@ -12,12 +12,12 @@
 
 from .connection_timeouts import Phase, sweep
 from .http_messages import JSON, TEXT, IncomingRequest, Response, parse_query
-from .http_request_reader import BodyBudget
 from .http_routing import Handler, RoutingError, RoutingTable
 from .http_server_connection import RETRY_AFTER_S, HttpServerConnection
 from .http_status import INTERNAL_SERVER_ERROR, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
 from .listening import open_server
+from .memory_account import DEFAULT_MEMORY_MB, machine_account
 
 _NS_PER_S = 10**9
 _MAX_SCHEME_BYTES = 9  # of a request target in absolute form, including "://"
@@ -33,7 +33,7 @@
         limits: its limits.
         counts: event counts by name: `connections`, `requests`, `refused`, `shed`, `slow`, `unanswered` (requests that
             exceeded the response timeout), `abandoned` (by their senders), `faults` (of handlers).
-        body_budget: the memory limit for request bodies.
+        memory: the memory account of the process.
         draining: whether each response closes its connection.
         address: the bound host and port, once it listens.
         connections: the open connections, oldest first.
@@ -62,7 +62,7 @@
         self.clock = clock
         self.limits = limits or HttpServerLimits()
         self.counts: Counter[str] = Counter()
-        self.body_budget = BodyBudget(self.limits.max_buffered_body_bytes)
+        self.memory = self.limits.memory or machine_account(clock, DEFAULT_MEMORY_MB, self.counts)
         self.draining = False
         self.address: tuple[str, int] | None = None
         self.connections: dict[HttpServerConnection, None] = {}
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -22,9 +22,10 @@
 from .connection_timeouts import Phase
 from .http_messages import JSON, TEXT, Delivery, DeliveryCallback, IncomingRequest, Response
 from .http_parsing import CONTINUE_RESPONSE
-from .http_request_reader import BodyBudget, RequestReader
+from .http_request_reader import RequestReader
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
+from .memory_account import MemoryAccount, MemoryCharge, MemoryShortError
 from .tcp_state import TcpState, read_tcp_state
 
 RETRY_AFTER_S = b"0.3"  # sent with each 503 response
@@ -39,7 +40,7 @@
     clock: Callable[[], int]
     limits: HttpServerLimits
     counts: Counter[str]
-    body_budget: BodyBudget
+    memory: MemoryAccount
     draining: bool
 
     def body_limit(self, target: bytes) -> int:
@@ -64,6 +65,7 @@
 
     Attributes:
         reader: reads the requests.
+        charge: the memory of the request, then of its response.
         request: the request whose response is pending.
         phase_since_ns: when the current phase began (`connection_timeouts`).
         closing: whether the last response has been written.
@@ -73,6 +75,7 @@
 
     __slots__ = (
         "reader",
+        "charge",
         "request",
         "phase_since_ns",
         "closing",
@@ -85,7 +88,8 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         """Starts unconnected; the event loop calls `connection_made`."""
-        self.reader = RequestReader(owner.limits.max_head_bytes, owner.body_limit, owner.body_budget)
+        self.charge: MemoryCharge = owner.memory.open()
+        self.reader = RequestReader(owner.limits.max_head_bytes, owner.body_limit, self.charge)
         self.reader.last = not owner.limits.keep_alive
         self.request: IncomingRequest | None = None
         self.phase_since_ns = 0
@@ -143,6 +147,7 @@
         self.closing = True
         self.ignores_input = True
         self.reader.close()
+        self._owner.memory.close(self.charge)
         self._owner.connection_closed(self)
 
     def eof_received(self) -> bool:
@@ -174,6 +179,10 @@
             # A valid request precedes the invalid bytes: it still gets its response, and nothing after it is read.
             self.ignores_input = True
             reader.last = True
+        if complete:
+            self.charge.received()
+        elif reader.message_begun:
+            self.charge.receiving(self, self._owner.limits.body_timeout_ns, len(data))
         if complete:  # not in the parser's callbacks, which turn every exception into a parser error
             self._owner.request_received(self)
 
@@ -188,16 +197,20 @@
         """The peer has read its response: reads requests again."""
         self._unsent_bytes = 0
         self.phase_since_ns = self._owner.clock()
+        self.charge.note_unsent(self.transport.get_write_buffer_size())
         if not self.closing:
             self.transport.resume_reading()
 
     # ---- called by the sweep
 
     def note_progress(self, now_ns: int) -> None:
-        """Restarts the write timeout if the peer has read some of the response."""
-        if not self._unsent_bytes:
+        """Notes what the peer has read of the response, and restarts the write timeout if it has read some."""
+        if not self.charge.is_sending:
             return
         unsent_bytes = self.transport.get_write_buffer_size()
+        self.charge.note_unsent(unsent_bytes)
+        if not self._unsent_bytes:
+            return
         if unsent_bytes < self._unsent_bytes:
             self._unsent_bytes = unsent_bytes
             self.phase_since_ns = now_ns
@@ -237,13 +250,16 @@
         is_last = self.request is not None and self.request.closes_connection
         self._finish_request()
         self.phase_since_ns = self._owner.clock()
-        self.reader.release_body()
         if self.closing:
+            self.charge.release()
             if on_delivery is not None:
                 on_delivery(Delivery.LOST)
             return
         self.reader.last = self.reader.last or is_last or self._owner.draining
-        self.transport.write(_encode_response(response, close=self.reader.last, omit_body=is_head))
+        encoded = _encode_response(response, close=self.reader.last, omit_body=is_head)
+        self.transport.write(encoded)
+        self.charge.set(len(encoded))
+        self.charge.sending(self, self._owner.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         self._on_delivery = on_delivery
         if self.reader.last and on_delivery is not None:
             self._end_stream()
@@ -259,10 +275,18 @@
         self.ignores_input = True
         self.reader.last = True
         self.reader.message_begun = False
-        self.reader.release_body()
+        self.reader.close()
+        self.charge.release()
         self.transport.write(_encode_error(error, self._owner.limits.plain_text_errors))
         self._end_stream()
 
+    def give_way(self) -> None:
+        """Ends a call that its sender does not finish, or a response that it does not read: memory is short."""
+        if self.request is None and self.reader.message_begun:
+            self.refuse(MemoryShortError())
+        else:
+            self.abort()
+
     def close(self) -> None:
         """Closes the connection once the write buffer is flushed; the sweep aborts it if that takes too long."""
         if not self.closing:
--- a/rampfront/net/limits.py
+++ b/rampfront/net/limits.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from .memory_account import MemoryAccount
+
 _MS = 10**6  # ns
 _S = 10**9  # ns
 _KIB = 1 << 10
@@ -151,9 +153,9 @@
 class HttpServerLimits(NamedTuple):
     """The limits of an `HttpServer`. Times are ns, sizes bytes."""
 
+    memory: MemoryAccount | None = None  # the account of the process; None: an account of its own
     max_head_bytes: int = 16 * _KIB
     max_body_bytes: int = 8 * _MIB  # of an endpoint that declares no limit
-    max_buffered_body_bytes: int = 64 * _MIB  # of all bodies together, until their requests have a response
     max_connections: int = 256  # past it the connection idle longest is closed
     head_timeout_ns: int = 3 * _S  # a head that is not complete after this time is refused with 408
     body_timeout_ns: int = 10 * _S  # a request that is not complete after this time is refused with 408
--- a/rampfront/net/request_size.py
+++ b/rampfront/net/request_size.py
@@ -14,28 +14,33 @@
     """The raw size of the request that a connection is reading.
 
     Attributes:
-        received_bytes: the raw bytes of the request so far.
+        received_bytes: the raw bytes of the request so far, with empty lines in front of it.
     """
 
-    __slots__ = ("received_bytes", "_body_bytes", "_chunks", "_head_complete")
+    __slots__ = ("received_bytes", "_body_bytes", "_chunks", "_head_bytes")
 
     def __init__(self) -> None:
         """Starts before the first request."""
         self.received_bytes = 0
         self._body_bytes = 0
         self._chunks = 0
-        self._head_complete = False
+        self._head_bytes = 0  # of a complete head
 
     def reset(self) -> None:
         """Begins anew after a complete request."""
         self.received_bytes = 0
         self._body_bytes = 0
         self._chunks = 0
-        self._head_complete = False
+        self._head_bytes = 0
 
-    def head_completed(self) -> None:
+    @property
+    def head_bytes(self) -> int:
+        """The size of the head, as far as it was received."""
+        return self._head_bytes or self.received_bytes
+
+    def head_completed(self, head_bytes: int) -> None:
         """Notes the end of the head. Trailers and chunk extensions together may have as many bytes again."""
-        self._head_complete = True
+        self._head_bytes = head_bytes
 
     def chunk_begun(self) -> None:
         """Notes a chunk, whose line is part of any chunked body."""
@@ -49,7 +54,7 @@
         """Returns the error of a request that has too many bytes beside its body; to be called once all are parsed."""
         other_bytes = self.received_bytes - self._body_bytes - self._chunks * _CHUNK_LINE_BYTES
         max_bytes = max_head_bytes + _LINE_BYTES
-        if self._head_complete:
+        if self._head_bytes:
             max_bytes += max_head_bytes
         if other_bytes > max_bytes:
             return HttpStatusError(HEADER_FIELDS_TOO_LARGE, "the head is too large")
--- a/rampfront/net/transaction_listener.py
+++ b/rampfront/net/transaction_listener.py
@@ -14,6 +14,7 @@
 from .http_parsing import FIELD_OVERHEAD_BYTES
 from .http_status import BAD_REQUEST, HEADER_FIELDS_TOO_LARGE, HttpStatusError
 from .limits import NetworkLimits
+from .memory_account import MemoryAccount
 from .transaction_gateway import TransactionGateway
 from .transaction_request import TransactionRequest
 
@@ -157,10 +158,15 @@
     connection_type = TransactionConnection
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, gateway: TransactionGateway, limits: NetworkLimits, log: EventLog
+        self,
+        loop: asyncio.AbstractEventLoop,
+        gateway: TransactionGateway,
+        limits: NetworkLimits,
+        memory: MemoryAccount,
+        log: EventLog,
     ) -> None:
         """For the parameters see `ClientListener`; `gateway` accepts the transactions."""
-        super().__init__(loop, gateway.clock, limits, log)
+        super().__init__(loop, gateway.clock, limits, memory, log)
         self._gateway = gateway
         self._driver = gateway.driver
 
--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -15,6 +15,7 @@
 from ..membership.dissemination import Disseminator
 from ..membership.health_registry import HealthRegistry
 from ..membership.roster import RosterEntry
+from ..net.memory_account import machine_account
 from ..proxy.client_front import ClientFront
 from ..proxy.environment import ProxyEnvironment
 from ..quota.counter import QuotaCounter
@@ -113,7 +114,8 @@
         context, settings = self.context, self.settings
         self.quota_exchange = self._build_quota_exchange()
         limits = network_limits(settings)
-        environment = ProxyEnvironment(context.loop, context.clock, settings, limits, context.rng, context.log)
+        memory = machine_account(context.clock, settings.memory_mb, context.counts)
+        environment = ProxyEnvironment(context.loop, context.clock, settings, limits, context.rng, context.log, memory)
         limiter = self.quota_exchange.limiter
         self.request_proxy = self.ports.request_proxy(environment, limiter, self.lease.is_valid)
         self.client_front = ClientFront(environment, self.request_proxy)
--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -92,7 +92,7 @@
             handlers_at.setdefault(address, []).append(handler)
     faults = CallFaults(context)
     for (host, port), handlers in handlers_at.items():
-        limits = HttpServerLimits(keep_alive=(host, port) != settings.control)
+        limits = HttpServerLimits(node.client_front.memory, keep_alive=(host, port) != settings.control)
         listener = HttpServer(context.loop, context.clock, handlers, limits, on_fault=faults.note)
         await listener.listen(host, port)
         node.shutdown.listeners.add(listener)
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -38,6 +38,8 @@
     "links_short": "Attempts that found no free connection within the bound.",
     "probes": "Health checks that were sent.",
     "probes_failed": "Health checks that failed.",
+    "memory_yielded": "Requests and answers given up because memory was short and their clients had stalled.",
+    "memory_refused": "Requests, and answers of servers, that found no memory.",
     "odd_answers": "Answers of servers that were not valid.",
     "faults": "Defects: exceptions that no part expected.",
     "frames_sent": "Frames to other nodes that went as one datagram.",
--- a/rampfront/proxy/environment.py
+++ b/rampfront/proxy/environment.py
@@ -9,6 +9,7 @@
 
 from ..net.event_log import EventLog
 from ..net.limits import NetworkLimits
+from ..net.memory_account import MemoryAccount
 from ..settings.process_settings import ProcessSettings
 
 
@@ -22,3 +23,4 @@
     limits: NetworkLimits
     rng: Random
     log: EventLog
+    memory: MemoryAccount
--- a/rampfront/simulation/fleet.py
+++ b/rampfront/simulation/fleet.py
@@ -280,6 +280,18 @@
         if not self.closed:
             self.fleet.transmit_bytes(self.return_path, self, self.request.answered, bytes(data))
 
+    def writelines(self, parts):
+        """Sends several pieces as one write."""
+        self.write(b"".join(parts))
+
+    def get_write_buffer_size(self):
+        """Everything is sent at once."""
+        return 0
+
+    def can_write_eof(self):
+        """The client reads a whole response, and needs no end of the stream."""
+        return False
+
     def get_extra_info(self, name):
         return None
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -241,6 +241,12 @@
     def get_extra_info(self, name):
         return self.stage.sockets.get(self.name)
 
+    def get_write_buffer_size(self):
+        return 0
+
+    def can_write_eof(self):
+        return False
+
     def is_closing(self):
         return self.closed
 
