Servers' answers are charged to the memory account; one that finds no memory is read and discarded

Callers saw: 20 clients that never read an answer of 32 MiB took a node of 200 MB to 682 MB, 96 with answers of 8 MiB to 731. Cause: no bound over all answers, neither while they are read from servers nor while slow clients take them. An answer that finds no memory is read to its end and dropped: the server's slot and connection become free, its outcome is what it was (it isn't blamed, nothing is retried, no budget is used), and the client gets 502, which promises nothing. A failure kept through retries is charged as well.

--- a/rampfront/edge/node.py
+++ b/rampfront/edge/node.py
@@ -80,7 +80,7 @@
         self.driver: DecisionDriver[TransactionExchange]
         self.driver = DecisionDriver(TimerQueue(loop, clock), configuration.terms, configuration.seed, limits, log)
         memory = machine_account(clock, configuration.memory_mb, log.counts)
-        servers = ServerConnectionPool(loop, self.driver, limits, configuration.reports_load, log)
+        servers = ServerConnectionPool(loop, self.driver, memory, configuration.reports_load, log)
         gateway = TransactionGateway(self.driver, limits, configuration.names, configuration.terms)
         self.driver.servers = servers
         self.driver.gateway = gateway
--- a/rampfront/net/decision_driver.py
+++ b/rampfront/net/decision_driver.py
@@ -59,6 +59,7 @@
         counts: the log's counters.
         node: the decision module. Other modules may read it only between inputs.
         in_flight: the transactions, submissions and health checks in flight.
+        limits: the limits of the process.
         now_ns: the time of the current input.
         gateway: returns answers to clients.
         servers: sends submissions to servers.
@@ -92,7 +93,7 @@
         self.once_only_gate: OnceOnlyGate | None = None
         self.recorder: DecisionRecorder | None = None
         self.storm: RetryStormControl | None = None
-        self._limits = limits
+        self.limits = limits
         self._once_only = [product.kind == t.ONCE_ONLY for product in terms.products]
         self._running = False
         self._inputs: deque[Input | None] = deque()
@@ -310,7 +311,7 @@
     def _remind(self, effect: t.Remind) -> None:
         """Schedules a reminder."""
         due_ns = self.now_ns + effect.delay
-        limits = self._limits
+        limits = self.limits
         slack_ns = min(limits.reminder_slack_ns, effect.delay // limits.reminder_slack_divisor)
         heappush(self._reminders, _Reminder(due_ns + slack_ns, due_ns, effect.ref))
 
--- a/rampfront/net/decision_ports.py
+++ b/rampfront/net/decision_ports.py
@@ -47,7 +47,7 @@
         duration_ns: the time from its start to its end.
         units: the units that the transaction took, as the server reports them; 0 if it does not.
         usage: the share of the quota that the account has used, as the server reports it; None if it does not.
-        body: the body of a complete response, as the server connection returns it.
+        body: the body of a complete response, as the server connection returns it; None if it was discarded.
         stream: the connection that streams the body of a response; None if the response is complete.
     """
 
--- a/rampfront/net/server_connection.py
+++ b/rampfront/net/server_connection.py
@@ -24,6 +24,7 @@
 from .exchange import ExchangeT
 from .http_status import INTERNAL_SERVER_ERROR, OK
 from .limits import NetworkLimits
+from .memory_account import MemoryAccount, MemoryCharge
 from .non_execution import NonExecution
 from .server import Server
 from .server_response_reader import ServerResponseReader
@@ -69,6 +70,7 @@
     counts: dict[str, int]
     driver: DecisionDriver[ExchangeT]
     limits: NetworkLimits
+    memory: MemoryAccount
     log: EventLog
     read_buffer: memoryview
     health_check_request: bytes
@@ -88,6 +90,7 @@
         pool: its pool.
         server: its server.
         transport: the transport; None until it is connected.
+        charge: the memory of the response that is received.
         reader: reads the responses.
         state: its state.
         exchange: the exchange of the submission in flight; None for a health check.
@@ -102,6 +105,7 @@
         "pool",
         "server",
         "transport",
+        "charge",
         "reader",
         "state",
         "exchange",
@@ -121,7 +125,8 @@
         self.pool = pool
         self.server = server
         self.transport: asyncio.Transport | None = None
-        self.reader = self.reader_type(pool.limits, self._may_stream)
+        self.charge: MemoryCharge = pool.memory.open()
+        self.reader = self.reader_type(pool.limits, self.charge, self._may_stream)
         self.state = CONNECTING
         self.exchange: ExchangeT | None = None
         self.attempt = 0
@@ -191,6 +196,7 @@
         end = self.submission_end(exchange, outcome, duration_ns) if exchange else None
         report = self.health_report() if end is None and outcome == t.DONE else None
         self.exchange = None
+        self.charge.release()
         self.reader.body.clear()  # an idle connection must not keep its last response in memory
         if keep and self.server.up:
             self._become_idle(now_ns)
@@ -213,7 +219,7 @@
         reader = self.reader
         index = self.server.index
         if outcome == t.DONE:
-            body = reader.body.take()
+            body = None if reader.is_discarded else reader.body.take()
             return SubmissionEnd(exchange, self.attempt, index, outcome, duration_ns, reader.units, reader.usage, body)
         usage = reader.usage if outcome == t.ERROR else None
         return SubmissionEnd(exchange, self.attempt, index, outcome, duration_ns, 0, usage)
@@ -259,6 +265,7 @@
         if self.state is IDLE and self in self.server.idle:
             self.server.idle.remove(self)
         self.state = CLOSED
+        self.pool.memory.close(self.charge)
         self.reader.close()
         self.server.connections -= 1
         self.pool.connections -= 1
--- a/rampfront/net/server_connection_pool.py
+++ b/rampfront/net/server_connection_pool.py
@@ -13,7 +13,7 @@
 from .decision_ports import ServerRow, SubmissionEnd
 from .event_log import EventLog
 from .exchange import ExchangeT
-from .limits import NetworkLimits
+from .memory_account import MemoryAccount
 from .non_execution import NonExecution
 from .server import Server
 from .server_connection import ServerConnection
@@ -32,6 +32,7 @@
         driver: receives the outcomes of submissions.
         clock: returns the time in ns.
         limits: the limits of the process.
+        memory: the memory account of the process.
         log: the event log.
         counts: the log's counters.
         read_buffer: the buffer that all connections read into.
@@ -46,7 +47,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         driver: DecisionDriver[ExchangeT],
-        limits: NetworkLimits,
+        memory: MemoryAccount,
         reports_load: bool,
         log: EventLog,
     ) -> None:
@@ -55,17 +56,18 @@
         Args:
             loop: the event loop.
             driver: receives the outcomes of submissions.
-            limits: the limits of the process.
+            memory: the memory account of the process.
             reports_load: whether servers report their load; health checks then request the report.
             log: the event log.
         """
         self.loop = loop
         self.driver = driver
         self.clock = driver.clock
-        self.limits = limits
+        self.limits = driver.limits
+        self.memory = memory
         self.log = log
         self.counts = log.counts
-        self.read_buffer = memoryview(bytearray(limits.read_buffer_bytes))
+        self.read_buffer = memoryview(bytearray(self.limits.read_buffer_bytes))
         self.health_check_request = _LOAD_REQUEST if reports_load else _HEALTH_REQUEST
         self.servers: dict[int, Server[ServerConnection[ExchangeT]]] = {}
         self.connections = 0
--- a/rampfront/net/server_response_reader.py
+++ b/rampfront/net/server_response_reader.py
@@ -12,6 +12,7 @@
 from .http_parsing import FIRST_FINAL_STATUS
 from .http_status import OK
 from .limits import NetworkLimits
+from .memory_account import MemoryCharge, MemoryShortError
 from .response_stream import ResponseStream, StreamTooLargeError
 from .server_response import parse_quota_use, parse_units
 
@@ -32,6 +33,8 @@
         length: the length of the body declared in the head; None if there is none.
         chunked: whether the body has chunk framing.
         body: the body, as far as it was received and is not streamed.
+        is_discarded: whether the body was discarded because memory is short. The response is read to its end, since its
+            server is not to blame, and its slot and connection become free.
         is_large: whether the response is to be streamed, because it is too large to buffer or of unknown length.
         stream: forwards the body to the client, once streaming has begun.
         not_run: whether the server states that it has not run the submission.
@@ -49,6 +52,7 @@
         "length",
         "chunked",
         "body",
+        "is_discarded",
         "is_large",
         "stream",
         "not_run",
@@ -57,14 +61,16 @@
         "load_report",
         "_parser",
         "_limits",
+        "_charge",
         "_may_stream",
     )
 
-    def __init__(self, limits: NetworkLimits, may_stream: Callable[[], bool]) -> None:
+    def __init__(self, limits: NetworkLimits, charge: MemoryCharge, may_stream: Callable[[], bool]) -> None:
         """Expects the first response.
 
         Args:
             limits: the limits of the process.
+            charge: the memory of the response.
             may_stream: returns whether the current response may be streamed; called once its head is complete.
         """
         self.status = 0
@@ -75,6 +81,7 @@
         self.length: int | None = None
         self.chunked = False
         self.body = BodyBuffer()
+        self.is_discarded = False
         self.is_large = False
         self.stream: ResponseStream | None = None
         self.not_run = False
@@ -83,6 +90,7 @@
         self.load_report: bytes | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._limits = limits
+        self._charge = charge
         self._may_stream = may_stream
 
     def expect_response(self) -> None:
@@ -129,6 +137,7 @@
         if self.complete:
             raise RemoteProtocolError("an unexpected further response")
         self.body.clear()
+        self.is_discarded = False
         self.length = None
         self.chunked = False
         self.not_run = False
@@ -158,6 +167,8 @@
             and (self.length is None or limits.max_body_bytes < self.length <= limits.max_streamed_bytes)
             and self._may_stream()
         )
+        if self.length is not None and not self.is_large:
+            self._charge_body(self.length)
 
     def on_body(self, part: bytes) -> None:
         """Forwards or appends a part of the body."""
@@ -166,12 +177,15 @@
                 self.stream.write(part)
             except StreamTooLargeError as error:
                 raise RemoteProtocolError(str(error)) from None
+        elif self.is_discarded:
+            return
         elif self.is_large:
             self.body.append(part)  # received together with the head, before the stream begins
         else:
             if len(self.body) + len(part) > self._limits.max_body_bytes:
                 raise RemoteProtocolError("the response body is too large")
             self.body.append(part)
+            self._charge_body(len(self.body))
 
     def on_message_complete(self) -> None:
         """Marks the response as complete."""
@@ -180,6 +194,15 @@
             self.complete = True
             self.keep_alive = self._parser.should_keep_alive()  # the parser knows it in this callback only
 
+    def _charge_body(self, size: int) -> None:
+        """Charges a body of `size` bytes, or discards it if there is no memory for it."""
+        try:
+            self._charge.raise_to(min(size, self._limits.max_body_bytes))
+        except MemoryShortError:
+            self.is_discarded = True
+            self.body.clear()
+            self._charge.release()
+
     def _read_extension_field(self, name: bytes, value: bytes) -> None:
         """Reads a header field of the platform's protocol; `name` is in lower case."""
         if name == b"x-not-run":
--- a/rampfront/net/transaction_gateway.py
+++ b/rampfront/net/transaction_gateway.py
@@ -193,13 +193,17 @@
     # ---- for the driver
 
     def complete(self, exchange: TransactionExchange, body: ResponseBody, stream: StreamSource | None) -> None:
-        """Answers with a server's response: its body as bytes, or the connection that streams it."""
+        """Answers with a server's response: its body, None if it was discarded, or the connection that streams it."""
         self._counts["settled"] += 1
         if self.storm and exchange.fingerprint:
             self.storm.settled(exchange.fingerprint, self.clock())
         client = exchange.detach_client()
         if client is None:
             return
+        if stream is None and body is None:
+            self.outcomes[exchange.product].unknown += 1
+            client.outcome_unknown()
+            return
         self.outcomes[exchange.product].succeeded += 1
         if stream is None:
             client.succeeded(body)
--- a/rampfront/proxy/client_front.py
+++ b/rampfront/proxy/client_front.py
@@ -104,6 +104,10 @@
         self.header_lines = []
         super().accepted(exchange)
 
+    def charge_retained(self, size: int) -> None:
+        """Charges a response that is kept while further attempts are made."""
+        self.charge.set(self.charge.size + size)
+
     def write_response(self, head: bytes, body: bytes) -> None:
         """Writes a complete response. `head`: the status line and the fields, without the framing fields."""
         super().write_response(head, b"" if self.expects_no_body else body)
--- a/rampfront/proxy/outcomes.py
+++ b/rampfront/proxy/outcomes.py
@@ -8,6 +8,7 @@
     429             customer's quota exceeded                          not executed
     503             no configuration, server or capacity               not executed, with `Retry-After`
     502, 504        all attempts failed, or no response in time        possibly executed
+    502             no memory for the server's response                possibly executed
 """
 
 from enum import Enum, auto
@@ -53,4 +54,5 @@
 )
 NO_CAPACITY = LocalResponse(503, b"no room", Execution.NOT_EXECUTED, 200 * MS)
 FAILED = LocalResponse(502, b"it may have run", Execution.POSSIBLY_EXECUTED)
+RESPONSE_DISCARDED = LocalResponse(502, b"no memory for the answer", Execution.POSSIBLY_EXECUTED)
 TIMED_OUT = LocalResponse(504, b"no answer in time", Execution.POSSIBLY_EXECUTED)
--- a/rampfront/proxy/request.py
+++ b/rampfront/proxy/request.py
@@ -113,6 +113,9 @@
     def accepted(self, exchange: "ProxiedRequest") -> None:
         """Notifies that the request was admitted: `exchange` will produce the response."""
 
+    def charge_retained(self, size: int) -> None:
+        """Charges `size` bytes of a response that is kept for the client while further attempts are made."""
+
     def forward(self, response: ServerResponse) -> None:
         """Writes a server's response."""
 
@@ -168,6 +171,8 @@
     def retain_failure(self, response: ServerResponse) -> None:
         """Keeps a server's failure response: the last one is returned if no better response arrives."""
         self.failure_response = response
+        if self.client is not None:
+            self.client.charge_retained(len(response.body))
         self.apply(RequestEvent.FAILURE_RESPONSE)
 
     def detach_client(self) -> RequestingClient | None:
--- a/rampfront/proxy/request_proxy.py
+++ b/rampfront/proxy/request_proxy.py
@@ -261,10 +261,17 @@
 
     # ---- responses; called by the driver of a service
 
-    def complete(self, request: ProxiedRequest, body: ServerResponse, stream: StreamSource | None) -> None:
-        """Forwards a server's response, `body`, to the client. `stream` is unused: responses are never streamed."""
+    def complete(self, request: ProxiedRequest, body: ServerResponse | None, stream: StreamSource | None) -> None:
+        """Forwards a server's response to the client.
+
+        `body`: the response, None if it was discarded; `stream` is unused: responses are never streamed."""
         self.counts["settled"] += 1
-        if client := self._close(request):
+        client = self._close(request)
+        if client is None:
+            return
+        if body is None:
+            client.respond(outcomes.RESPONSE_DISCARDED)
+        else:
             client.forward(body)
 
     def decline(self, request: ProxiedRequest, retry_after_ns: int) -> None:
--- a/rampfront/proxy/server_connections.py
+++ b/rampfront/proxy/server_connections.py
@@ -174,8 +174,11 @@
             return SubmissionEnd(exchange, self.attempt, self.server.index, outcome, duration_ns)
         self.pool.observer.response_durations.record(duration_ns)
         reader = self.reader
-        response = ServerResponse(reader.status, reader.header_lines, reader.body.take())
+        header_lines = reader.header_lines
         reader.header_lines = []  # releases the memory of the last response while the connection is idle
+        if reader.is_discarded:
+            return SubmissionEnd(exchange, self.attempt, self.server.index, outcome, duration_ns)
+        response = ServerResponse(reader.status, header_lines, reader.body.take())
         if outcome == t.ERROR and response.status not in NOT_RUN_STATUSES:
             exchange.retain_failure(response)
         return SubmissionEnd(exchange, self.attempt, self.server.index, outcome, duration_ns, 0, None, response)
@@ -199,7 +202,7 @@
         observer: ServerObserver,
     ) -> None:
         """`events` is notified of load and address changes that responses report, `observer` of every attempt."""
-        super().__init__(environment.loop, driver, environment.limits, False, environment.log)
+        super().__init__(environment.loop, driver, environment.memory, False, environment.log)
         self.events = events
         self.observer = observer
         self.idle_trust = IdleTrust(environment.limits.server_idle_timeout_ns)
--- a/rampfront/proxy/server_response_reader.py
+++ b/rampfront/proxy/server_response_reader.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ..net.limits import NetworkLimits
+from ..net.memory_account import MemoryCharge
 from ..net.server_response_reader import ServerResponseReader
 from .server_response import HOP_BY_HOP_FIELDS
 
@@ -37,9 +38,9 @@
 
     __slots__ = ("fields", "header_lines", "expects_no_body")
 
-    def __init__(self, limits: NetworkLimits, may_stream: Callable[[], bool]) -> None:
+    def __init__(self, limits: NetworkLimits, charge: MemoryCharge, may_stream: Callable[[], bool]) -> None:
         """Expects the first response. The parameters are those of `ServerResponseReader`."""
-        super().__init__(limits, may_stream)
+        super().__init__(limits, charge, may_stream)
         self.fields: dict[bytes, bytes] = {}
         self.header_lines: list[bytes] = []
         self.expects_no_body = False
@@ -60,6 +61,11 @@
         if lowered not in HOP_BY_HOP_FIELDS:
             self.header_lines.append(b"%s: %s\r\n" % (name, value))
 
+    def _charge_body(self, size: int) -> None:
+        """Charges the body, or discards it if there is no memory for it; the response to HEAD has none."""
+        if not self.expects_no_body:
+            super()._charge_body(size)
+
     def on_headers_complete(self) -> None:
         """Evaluates the complete head."""
         fields = self.fields
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,8 @@
 The other tests are grouped by file. A run of selected files or tests, a run with `-n` and a run without pytest-xdist
 are not distributed here.
 
-Tests marked `alone` measure a process, which other tests beside them would disturb. The complete run leaves them out;
-`pytest -m alone` plays them, one after another.
+Tests marked `alone` measure a process, which other tests beside them would disturb. A complete or distributed run
+leaves them out; `pytest -m alone` plays them, one after another.
 """
 
 import asyncio
@@ -54,7 +54,10 @@
     known_red.print_outcome(terminalreporter, known_red.listed())
 
 
-def pytest_collection_modifyitems(items):
+def pytest_collection_modifyitems(config, items):
+    if "PYTEST_XDIST_WORKER" in os.environ:  # the workers do not know the option that is set above
+        config.hook.pytest_deselected(items=[item for item in items if item.get_closest_marker("alone")])
+        items[:] = [item for item in items if not item.get_closest_marker("alone")]
     known_red.expect_failures(items, known_red.listed())
     worker = os.environ.get("PYTEST_XDIST_WORKER", "")
     if not worker:
--- a/tests/crowds/crowd_system.py
+++ b/tests/crowds/crowd_system.py
@@ -34,6 +34,7 @@
 GIVE_UP = "8s"  # of all routes, as one process simulates all servers and clients
 ANSWERS_WITHIN_S = 2.0  # the answers of a whole crowd
 CUSTOMER_FIELDS = {"Host": HOST, "Authorization": f"Bearer {API_KEY}", "Time-Left-Ms": "8000"}
+REASON_BYTES = 60  # of an answer, which a failed test prints
 _KB = 1024  # the unit of /proc/PID/status
 _HEX = 16
 _numbers = itertools.count()
@@ -140,8 +141,9 @@
         return self.children[self.node.name]
 
     async def enter(self) -> "CrowdSystem":
-        """Starts the system and the measurement."""
+        """Starts the system and the measurement, once the node has read the tenants' counts and answers requests."""
         await self.start()
+        assert await self.ordinary_request() == HTTPStatus.OK
         self.meter = ProcessMeter(self.child.pid, self.node.ip)
         return self
 
@@ -213,7 +215,7 @@
     try:
         connection.request(method, path, body, {**fields, "Try-Id": f"ordinary{next(_numbers)}"})
         answer = connection.getresponse()
-        answer.read()
+        print(answer.status, path, answer.read()[:REASON_BYTES])
         return answer.status
     except (OSError, http.client.HTTPException):
         return 0
--- a/tests/net/test_response_stream.py
+++ b/tests/net/test_response_stream.py
@@ -112,7 +112,7 @@
     memory = machine_account(lambda: now[0], 200, {})
     limits = compute_limits(1024, 1, 1)
     client = TransactionConnection(SimpleNamespace(clock=lambda: now[0], swept_ns=0, memory=memory, limits=limits))
-    pool = SimpleNamespace(clock=lambda: now[0], limits=limits)
+    pool = SimpleNamespace(clock=lambda: now[0], limits=limits, memory=memory)
     source = StreamingServerConnection(pool, None)
     source.reader.stream = ResponseStream(client, 1 << 20, 0)
     client.transport, client.closing, source.transport = Transport(), False, Transport()
