Behind a refusal the listeners of calls discard the rest of a request, not whatever comes

Callers saw: at the operators', look-up and readiness addresses 256 MiB of empty lines were taken of each client, although they are refused at the limit of the head. Cause: behind a refusal input is discarded for a second, without a bound on its bytes, so that the refusal isn't lost by a reset. Change: RequestSize says how much may still come: the rest of a body whose head was complete, and 4 MiB that may be in flight. Who sends more is cut off.

--- a/rampfront/net/http_request_reader.py
+++ b/rampfront/net/http_request_reader.py
@@ -121,6 +121,10 @@
         self._target = b""
         return request
 
+    def discardable_bytes(self) -> int:
+        """Returns how much input is read and discarded once the current request is refused."""
+        return self._size.discardable_bytes(self._max_body_bytes)
+
     def close(self) -> None:
         """Drops the body and the parser once nothing more is read. The parser refers back to this reader."""
         self._body.clear()
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -83,6 +83,7 @@
         "transport",
         "_owner",
         "_unsent_bytes",
+        "_discardable_bytes",
         "_on_delivery",
     )
 
@@ -98,6 +99,7 @@
         self._owner = owner
         self.transport: asyncio.Transport
         self._unsent_bytes = 0  # of a response that the peer reads slowly, at the last check
+        self._discardable_bytes = 0  # of the input after a refusal
         self._on_delivery: DeliveryCallback | None = None  # of the last response
 
     @property
@@ -160,6 +162,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, and passes a complete request to the server."""
         if self.ignores_input:
+            self._discard(len(data))
             return
         self._report_delivery(Delivery.DELIVERED)
         reader = self.reader
@@ -275,6 +278,7 @@
         self.ignores_input = True
         self.reader.last = True
         self.reader.message_begun = False
+        self._discardable_bytes = self.reader.discardable_bytes()
         self.reader.close()
         self.charge.release()
         self.transport.write(_encode_error(error, self._owner.limits.plain_text_errors))
@@ -300,6 +304,13 @@
         self.ignores_input = True
         self.transport.abort()
 
+    def _discard(self, size: int) -> None:
+        """Discards input after the last response. A peer that sends more than the rest of its request is cut off."""
+        if self.closing:
+            self._discardable_bytes -= size
+            if self._discardable_bytes < 0:
+                self.abort()
+
     def _end_stream(self) -> None:
         """Ends the output and waits for the peer to close; the sweep aborts the connection if that takes too long."""
         self.closing = True
--- a/rampfront/net/request_size.py
+++ b/rampfront/net/request_size.py
@@ -6,6 +6,7 @@
 
 from .http_status import HEADER_FIELDS_TOO_LARGE, HttpStatusError
 
+MAX_IN_FLIGHT_BYTES = 4 << 20  # that a peer may have sent before it can know of its refusal
 _LINE_BYTES = 64  # of method, version and line ends, which the limit of the head does not include
 _CHUNK_LINE_BYTES = 24  # the size of a chunk and its line ends
 
@@ -50,6 +51,11 @@
         """Notes bytes of the body."""
         self._body_bytes += size
 
+    def discardable_bytes(self, max_body_bytes: int) -> int:
+        """Returns how much input of a refused request is read and discarded: its rest, and what may be in flight."""
+        rest_bytes = max(0, max_body_bytes - self._body_bytes) if self._head_bytes else 0
+        return rest_bytes + MAX_IN_FLIGHT_BYTES
+
     def check(self, max_head_bytes: int) -> HttpStatusError | None:
         """Returns the error of a request that has too many bytes beside its body; to be called once all are parsed."""
         other_bytes = self.received_bytes - self._body_bytes - self._chunks * _CHUNK_LINE_BYTES
--- a/tests/net/test_request_size.py
+++ b/tests/net/test_request_size.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rampfront.net.request_size import RequestSize
+from rampfront.net.request_size import MAX_IN_FLIGHT_BYTES, RequestSize
 
 MAX_HEAD = 1000
 
@@ -48,3 +48,12 @@
     size.head_completed(900)
     size.reset()
     assert size.head_bytes == 0 and received(size, 19, 50) is None and size.head_bytes == 950
+
+
+def test_after_a_refusal_the_rest_of_a_request_is_discarded_and_no_more():
+    size = RequestSize()
+    size.received_bytes += MAX_HEAD * 2
+    assert size.discardable_bytes(10**6) == MAX_IN_FLIGHT_BYTES  # its head never ended, so it can't have a body
+    size.head_completed(900)
+    size.body_received(400_000)
+    assert size.discardable_bytes(10**6) == 600_000 + MAX_IN_FLIGHT_BYTES
