A refusal in the middle of a request reaches a client that sends all of it before it reads

Callers saw: a client that declares a body over the limit and sends it whole before it reads got a reset instead of 413; so would one of 503, which promises that the request has not run, and a reset promises nothing. Cause: the clients' listener closed the connection right behind the refusal; closing with unread input resets it (RFC 9112, section 9.6). Only the listeners of calls waited. Change: a connection refused before its request is complete ends its output and discards the rest of the request (bounded as at the calls' listeners) for 3 s at most. Such connections are the first to be shed past the limit of connections, and do not hold up a shutdown. Tests of proxy, net and edge: 373 passed.

--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -82,6 +82,7 @@
         message_begun: whether a request has begun and is not complete.
         ignores_input: whether further input is discarded.
         closing: whether the last response has been written.
+        lingering: whether it stays open for a short time after a refusal, so that its client can read that.
         write_paused: whether writing is paused because the client reads its response too slowly.
         over_limit: whether it was opened past the limit of connections; it is closed after its first response.
         throttled: whether it was opened faster than connections are accepted; its requests are declined.
@@ -102,6 +103,7 @@
         "message_begun",
         "ignores_input",
         "closing",
+        "lingering",
         "write_paused",
         "over_limit",
         "throttled",
@@ -109,6 +111,7 @@
         "_message_complete",
         "_size",
         "_keep_alive",
+        "_discardable_bytes",
     )
 
     def __init__(self, listener: ConnectionListener) -> None:
@@ -126,6 +129,7 @@
         self.message_begun = False
         self.ignores_input = False
         self.closing = False
+        self.lingering = False
         self.write_paused = False
         self.over_limit = False
         self.throttled = False
@@ -133,6 +137,7 @@
         self._message_complete = False
         self._size = RequestSize()
         self._keep_alive = True
+        self._discardable_bytes = 0  # of the input after a refusal
 
     @property
     def busy(self) -> bool:
@@ -147,6 +152,8 @@
     @property
     def phase(self) -> Phase:
         """The current phase, which determines the timeout."""
+        if self.lingering and not self.write_paused:
+            return Phase.LINGERING
         if self.closing or self.write_paused:
             return Phase.WRITING
         if self.message_begun:
@@ -189,6 +196,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parses the bytes that were read into the buffer."""
         if self.ignores_input:
+            self._discard(nbytes)
             return
         self._size.received_bytes += nbytes
         assert self.parser is not None
@@ -291,9 +299,11 @@
             case Phase.READING_HEAD | Phase.READING_BODY:
                 self.listener.counts["slow"] += 1
                 self.refuse(HttpStatusError(REQUEST_TIMEOUT, "the txn never became whole"))
-            case Phase.WRITING | Phase.FLUSHING | Phase.LINGERING:
+            case Phase.WRITING | Phase.FLUSHING:
                 self.listener.counts["slow"] += 1
                 self.transport.abort()
+            case Phase.LINGERING:
+                self.transport.abort()
             case Phase.FIRST_REQUEST | Phase.IDLE | Phase.AWAITING_RESPONSE:
                 self.close()
             case _:
@@ -323,7 +333,9 @@
             self.transport.write(head + body)
         self.charge.set(len(head) + len(body))
         self.charge.sending(self, self.listener.limits.write_timeout_ns, self.transport.get_write_buffer_size())
-        if last:
+        if self.lingering:
+            self._end_stream()
+        elif last:
             self.close()
 
     def refuse(self, error: HttpStatusError) -> None:
@@ -333,7 +345,9 @@
         """
         if not self.closing:
             self.ignores_input = True
+            self.lingering = self.message_begun  # there may be more of its request
             self.message_begun = False
+            self._discardable_bytes = self._size.discardable_bytes(self.listener.limits.max_body_bytes)
             self.body.clear()
             self.parser = None  # it keeps an incomplete field
             self.listener.request_refused(self, error)
@@ -359,6 +373,21 @@
         self.ignores_input = True
         self.transport.abort()
 
+    def _end_stream(self) -> None:
+        """Ends the output and waits for the client to close; the sweep aborts the connection if that takes too long."""
+        self.closing = True
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+
+    def _discard(self, size: int) -> None:
+        """Discards input after a refusal. A client that sends more than the rest of its request is cut off."""
+        if self.lingering:
+            self._discardable_bytes -= size
+            if self._discardable_bytes < 0:
+                self.abort()
+
     def _charge_request(self, received_bytes: int) -> HttpStatusError | None:
         """Charges the request as far as it was received. Returns the error if there is no memory for it."""
         if not self.message_begun and not self._message_complete:
--- a/rampfront/net/client_listener.py
+++ b/rampfront/net/client_listener.py
@@ -143,7 +143,9 @@
         if self.server is not None:
             self.server.close()
         for connection in list(self.clients):
-            if not connection.busy and not connection.message_begun:
+            if connection.lingering:
+                connection.abort()
+            elif not connection.busy and not connection.message_begun:
                 connection.close()
         if not self.clients:
             done()
@@ -218,6 +220,7 @@
         self.swept_ns = self.clock()
         limits_ns = {
             Phase.WRITING: limits.write_timeout_ns,
+            Phase.LINGERING: limits.linger_timeout_ns,
             Phase.READING_HEAD: limits.request_read_timeout_ns,
             Phase.FIRST_REQUEST: first_request_ns,
             Phase.IDLE: idle_ns,
@@ -225,7 +228,7 @@
         sweep(self.clients, self.swept_ns, limits_ns)
 
     def _shed(self) -> bool:
-        """Closes the connection that has sent nothing for longest, or else the one idle longest.
+        """Closes a connection that lingers, or the one that has sent nothing for longest, or else the one idle longest.
 
         Hundreds of clients may connect and send nothing, so these are closed first. A connection that was just opened
         is spared, because its first request may be in transit and would fail. Returns False if there is no candidate.
@@ -240,12 +243,23 @@
         if not candidates:
             return False
         self.counts["clients_shed"] += 1
-        min(candidates, key=lambda connection: (not connection.fresh, connection.phase_since_ns)).close()
+        shed = min(candidates, key=_shed_order)
+        if shed.lingering:
+            shed.abort()
+        else:
+            shed.close()
         return True
 
 
+def _shed_order(connection: ClientConnection) -> tuple[bool, bool, int]:
+    """Sort key; the connection to shed sorts first."""
+    return (not connection.lingering, not connection.fresh, connection.phase_since_ns)
+
+
 def _may_be_shed(connection: ClientConnection) -> bool:
-    """Whether a connection may be shed: it is idle, or has not sent a complete request yet."""
+    """Whether a connection may be shed: it is idle, has not sent a complete request yet, or lingers."""
+    if connection.lingering:
+        return True
     if connection.fresh:
         return not (connection.busy or connection.closing or connection.write_paused)
     return connection.idle
--- a/rampfront/net/limits.py
+++ b/rampfront/net/limits.py
@@ -69,6 +69,9 @@
     """A request that has begun and is not complete after this time is refused."""
     write_timeout_ns: int = 5 * _S
     """The connection of a client that does not read its answer for this long is aborted."""
+    linger_timeout_ns: int = 3 * _S
+    """Input after a refusal is read and discarded for this long, since closing with unread input resets the
+    connection, and the client may lose the refusal (RFC 9112, section 9.6)."""
     max_expiry_ns: int = 600 * _S
     """The maximum time that a client may ask to wait for its answer."""
 
