The connections of all listeners together stay within the machine's descriptors

Callers saw: 320 connections at each of the four addresses of a node with OpenFiles 1024 opened 1098 descriptors; past the limit no connection to a server or a node opens. Cause: 256 sockets were kept free for operators, the platform and other nodes, but each of the three listeners of calls took up to 256 of its own. Change: each listener of calls, and the platform and other nodes together, get a twelfth of the sockets, 256 at most, and clients what is left of these and the third for servers: at OpenFiles 4100 1576 (2344 before), at 1024 278 (294).

--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -16,6 +16,7 @@
 from .answer_reports import AnswerReports
 from .control_calls import ControlCalls
 from .directory_call import Directory
+from .limits import call_connections
 from .metrics_page import MetricsPage
 from .status_views import StatusViews
 
@@ -92,7 +93,11 @@
             handlers_at.setdefault(address, []).append(handler)
     faults = CallFaults(context)
     for (host, port), handlers in handlers_at.items():
-        limits = HttpServerLimits(node.client_front.memory, keep_alive=(host, port) != settings.control)
+        limits = HttpServerLimits(
+            node.client_front.memory,
+            max_connections=call_connections(settings),
+            keep_alive=(host, port) != settings.control,
+        )
         listener = HttpServer(context.loop, context.clock, handlers, limits, on_fault=faults.note)
         await listener.listen(host, port)
         node.shutdown.listeners.add(listener)
--- a/rampfront/node/limits.py
+++ b/rampfront/node/limits.py
@@ -7,16 +7,27 @@
 KIB, MIB = 1 << 10, 1 << 20
 RESERVED_DESCRIPTORS = 200  # for files, the event loop and the node's own listeners
 MIN_SOCKETS = 256
-RESERVED_SOCKETS = 256  # for operators, the platform and other nodes
+MAX_SMALL_SHARE = 256  # sockets
+SMALL_SHARE_DIVISOR = 12  # of all sockets
+SMALL_SHARES = 4  # one for each listener of calls (operators, look-ups, readiness), one for the platform and nodes
 OVERFLOW_CLIENTS = 16
 
 
+def call_connections(process_settings: ProcessSettings) -> int:
+    """Return the maximum number of connections of each listener of calls: a small share of the sockets."""
+    return min(MAX_SMALL_SHARE, _sockets(process_settings) // SMALL_SHARE_DIVISOR)
+
+
+def _sockets(process_settings: ProcessSettings) -> int:
+    return max(MIN_SOCKETS, process_settings.open_files - RESERVED_DESCRIPTORS)
+
+
 def network_limits(process_settings: ProcessSettings) -> NetworkLimits:
     """Return the limits of a node's process. A third of its sockets is for connections to servers."""
-    sockets = max(MIN_SOCKETS, process_settings.open_files - RESERVED_DESCRIPTORS)
+    sockets = _sockets(process_settings)
     server_connections = sockets // 3
     return NetworkLimits(
-        max_clients=sockets - server_connections - RESERVED_SOCKETS,
+        max_clients=sockets - server_connections - SMALL_SHARES * call_connections(process_settings),
         overflow_clients=OVERFLOW_CLIENTS,
         max_server_connections=server_connections,
         max_active_clients=sockets // 3,
