--- a/tests/crowds/crowd_system.py
+++ b/tests/crowds/crowd_system.py
@@ -20,6 +20,7 @@
 import crowd_clients
 
 from rampfront.lab.simulated_servers import Answer, ServerProfile, ServiceTime, SimulatedServer
+from rampfront.operator_cli.local_layout import FRAME_PORTS_FROM
 from rampfront.operator_cli.local_system import LocalSystem, SystemSize
 from rampfront.operator_cli.sample_configuration import API_KEY, HOST, sample_configuration
 from rampfront.settings.scalars import parse_address
@@ -149,7 +150,9 @@
 
     async def crowd(self, where: str, streams) -> list[crowd_clients.Client]:
         """Lets clients send these streams to the address `where` of the node. They stay connected until the end."""
-        clients = await crowd_clients.push_all(parse_address(getattr(self.node, where)), streams)
+        node = self.node
+        address = node.address_at(FRAME_PORTS_FROM) if where == "frames" else getattr(node, where)
+        clients = await crowd_clients.push_all(parse_address(address), streams)
         self.clients += clients
         return clients
 
--- a/tests/crowds/test_call_addresses.py
+++ b/tests/crowds/test_call_addresses.py
@@ -5,7 +5,7 @@
 import crowd_clients as clients
 import pytest
 from crowd_clients import KIB, MIB
-from crowd_system import play, require_refused
+from crowd_system import ANSWERS_WITHIN_S, play, require_refused
 
 pytestmark = pytest.mark.alone
 CALL = "/api/rpc?call=config.replace"
@@ -60,6 +60,29 @@
     play(tmp_path, scene)
 
 
+def test_a_call_that_costs_more_decoded_than_on_the_wire(tmp_path):
+    """Eight MiB of empty objects, one at a time: what is charged is what a thing costs."""
+
+    async def scene(system):
+        for _ in range(3):
+            body = b'{"Revision":"r9","Junk":[' + b"{}," * (LARGEST_CALL // 3 - 20) + b"{}]}"
+            await system.crowd("control", [[clients.head("POST", CALL, f"Content-Length: {len(body)}"), body]])
+            await asyncio.sleep(ANSWERS_WITHIN_S)
+
+    play(tmp_path, scene)
+
+
+def test_frames_that_stop_short_of_their_end(tmp_path):
+    """The port of the nodes takes frames of 16 MiB over 64 connections, and any byte renews their time."""
+
+    async def scene(system):
+        length = 16 * MIB
+        frame = [length.to_bytes(4, "big"), *clients.in_pieces(length - 1)]
+        await system.crowd("frames", [frame for _ in range(40)])
+
+    play(tmp_path, scene)
+
+
 def test_connections_that_only_stay_open_at_all_addresses(tmp_path):
     async def scene(system):
         for where in ("control", "directory", "ready", "front"):
