Frames between nodes are charged to the memory account; a stalled one gives way

Callers saw: 40 connections to the nodes' port with frames of 16 MiB that stop a byte short took a node of 200 MB to 707 MB. Cause: 64 frames of 16 MiB may be received at once, in a list of chunks that is joined twice, and any byte renews their time. Without memory, or stalled while memory is short, its connection is aborted; the protocols above repeat what has to arrive. Not covered: what a small frame becomes once it is decoded (CBOR, zlib).

--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -115,6 +115,7 @@
         self.quota_exchange = self._build_quota_exchange()
         limits = network_limits(settings)
         memory = machine_account(context.clock, settings.memory_mb, context.counts)
+        context.wire.memory = memory
         environment = ProxyEnvironment(context.loop, context.clock, settings, limits, context.rng, context.log, memory)
         limiter = self.quota_exchange.limiter
         self.request_proxy = self.ports.request_proxy(environment, limiter, self.lease.is_valid)
--- a/rampfront/transport/wire.py
+++ b/rampfront/transport/wire.py
@@ -12,6 +12,7 @@
 
 from ..net.event_log import EventLog
 from ..net.listening import open_server
+from ..net.memory_account import DEFAULT_MEMORY_MB, machine_account
 from .connections import ConnectionSet
 from .datagram import DatagramEndpoint
 from .frames import KIND_KEY, MAX_DATAGRAM_BYTES, InvalidFrameError, Message, decode_frame, encode_frame
@@ -30,6 +31,8 @@
 class Wire:
     """Sends and receives the frames of one node. Received messages go to `on_frame(sender's IP address, message)`.
 
+    `memory` is the account of the node, which the program sets; until then it is one of its own.
+
     Delivery is neither guaranteed nor confirmed to the caller; the protocols above repeat what has to arrive.
     """
 
@@ -48,6 +51,7 @@
         self.ip, self.port = address
         self.log = log
         self.counts = log.counts
+        self.memory = machine_account(clock, DEFAULT_MEMORY_MB, self.counts)
         self.on_frame = on_frame
         self.outgoing = ConnectionSet(MAX_OUTGOING_CONNECTIONS)
         self.incoming = ConnectionSet(MAX_INCOMING_CONNECTIONS)
@@ -62,7 +66,7 @@
         await open_server(self.loop, self._accept, self.ip, self.port, LISTEN_BACKLOG)
 
     def _accept(self) -> IncomingConnection:
-        return IncomingConnection(self.incoming, self.clock, self.counts, self.receive_frame)
+        return IncomingConnection(self.incoming, self.memory, self.counts, self.receive_frame)
 
     def send(self, ip: str, message: Message) -> None:
         """Sends a message to the node at `ip`."""
--- a/tests/transport/test_frame_connections.py
+++ b/tests/transport/test_frame_connections.py
@@ -85,3 +85,20 @@
     assert [ip for ip, _ in wire.received] == ["10.0.0.2"] and not connection.pipe.aborted
     wire.wait(3)
     assert connection.pipe.aborted
+
+
+def test_a_frame_without_memory_is_aborted_and_a_stalled_one_gives_way():
+    wire = SocketlessWire()
+    wire.memory.capacity_bytes = 30_000
+    frame = framed({"k": "word", "b": bytes(range(256)) * 20})
+    stalled = wire.accept()
+    stalled.data_received(frame[:-1])
+    refused = wire.accept()
+    refused.data_received((12_001).to_bytes(4, "big"))
+    assert refused.pipe.aborted and not stalled.pipe.aborted and wire.memory.used_bytes > 10_000
+    wire.wait(2)
+    other = wire.accept(OTHER_SENDER)
+    other.data_received((9000).to_bytes(4, "big"))
+    assert stalled.pipe.aborted and not other.pipe.aborted
+    other.close()
+    assert not wire.received and wire.memory.used_bytes == 0 and wire.counts["frames_truncated"] == 2
--- a/tests/transport/wire_fixtures.py
+++ b/tests/transport/wire_fixtures.py
@@ -33,7 +33,7 @@
 
     def accept(self, ip=SENDER):
         """Simulates a connection from a peer; returns the receiver's end."""
-        connection = IncomingConnection(self.incoming, self.clock, self.counts, self.receive_frame)
+        connection = IncomingConnection(self.incoming, self.memory, self.counts, self.receive_frame)
         return connect(connection, ip)
 
     def open(self, data):
