A configuration is read only if the machine has the memory for what it becomes

Callers saw: one call of 8 MiB of empty objects took a node of 200 MB to 261 MB; 32 MiB are accepted. Cause: JSON costs up to 24 times its bytes once it is decoded, and the body alone was counted. Change: json_cost.py estimates from above what a text takes, by its brackets, commas and colons; config.replace charges that while it reads the body. 413 if this machine could never read it, 503 with Retry-After if others hold the memory.

--- a/rampfront/net/memory_account.py
+++ b/rampfront/net/memory_account.py
@@ -10,7 +10,8 @@
 of shared-memory switches: Choudhury and Hahne, 1998).
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 from .http_status import SERVICE_UNAVAILABLE, HttpStatusError
@@ -174,6 +175,16 @@
         charge.release()
         self._charges.pop(charge, None)
 
+    @contextmanager
+    def reserve(self, size: int) -> Iterator[None]:
+        """Charges `size` bytes for the time of a `with` block. Raises MemoryShortError."""
+        charge = self.open()
+        try:
+            charge.raise_to(size)
+            yield
+        finally:
+            self.close(charge)
+
     def admit(self, charge: MemoryCharge, added_bytes: int) -> None:
         """Adds bytes to a charge, if need be after others have given way. Raises MemoryShortError."""
         while not self._fits(charge, added_bytes):
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -18,7 +18,9 @@
 from ..consensus.version_history import content_digest
 from ..net.http_messages import Delivery, error_response, json_response
 from ..net.http_routing import endpoint
+from ..net.memory_account import MemoryAccount, MemoryShortError
 from ..settings import configuration_reader
+from ..settings.json_cost import decoded_bytes
 from .evacuation_view import MAY_BE_REPEAT, evacuation_view, order_view, parse_hold
 from .order_messages import GIVEN_UP
 
@@ -54,18 +56,27 @@
     """The operators' calls that become orders."""
 
     def __init__(
-        self, orders: OrderSubmitter, reports: AnswerReports, zones: Mapping[str, str], counts: dict[str, int]
+        self, orders: OrderSubmitter, reports: AnswerReports, zones: Mapping[str, str], memory: MemoryAccount
     ) -> None:
-        """`reports` tells the core which answers were delivered; `zones`: the region of each zone of the settings."""
+        """`reports` tells the core which answers were delivered; `zones`: the region of each zone of the settings;
+        `memory`: the node's account, whose counters are used."""
         self._orders = orders
         self._reports = reports
         self._zones = zones
-        self.counts = counts
+        self._memory = memory
+        self.counts = memory.counts
 
     @endpoint("POST", "/api/rpc", operation="config.replace", max_body_bytes=MAX_REQUEST_BYTES)
     def replace_configuration(self, request: IncomingRequest) -> Response | None:
         """Apply a configuration. An invalid or too large one is rejected here."""
-        found = configuration_reader.read(request.body)
+        needed_bytes = decoded_bytes(request.body)
+        if needed_bytes > self._memory.largest_charge_bytes:
+            return error_response(413, f"the body takes {needed_bytes} bytes once it is read, more than there are here")
+        try:
+            with self._memory.reserve(needed_bytes):
+                found = configuration_reader.read(request.body)
+        except MemoryShortError as error:
+            return error_response(error.status, str(error), ((b"Retry-After", b"0.3"),))
         if isinstance(found, Err):
             self.counts["orders_refused"] += 1
             return json_response({"Message": str(found.err_value), "Field": found.err_value.field}, 400)
--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -56,7 +56,7 @@
 def build_control_calls(node: NodeProcess) -> ControlCalls:
     """Return a node's handler of operators' orders."""
     reports = AnswerReports(node.context, node.orders)
-    return ControlCalls(node.orders, reports, node.context.process_settings.zones, node.context.counts)
+    return ControlCalls(node.orders, reports, node.context.process_settings.zones, node.client_front.memory)
 
 
 def build_directory(node: NodeProcess) -> Directory:
--- a/tests/node/test_answer_reports.py
+++ b/tests/node/test_answer_reports.py
@@ -8,6 +8,7 @@
 
 from rampfront.consensus.events import OrderKind, Outcome
 from rampfront.net.http_messages import Delivery
+from rampfront.net.memory_account import machine_account
 from rampfront.node.answer_reports import CALLER_PATIENCE_NS, MAX_PENDING, RETRY_NS, AnswerReports
 from rampfront.node.control_calls import MAX_KEY_BYTES, ControlCalls, explicit_identity
 
@@ -29,7 +30,7 @@
         context = SimpleNamespace(counts=self.counts, clock=lambda: self.now, scheduler=scheduler)
         orders = SimpleNamespace(submit=self.submit, next_identity=lambda: IDENTITY, clock=lambda: self.now)
         self.reports = AnswerReports(context, orders)
-        self.calls = ControlCalls(orders, self.reports, {ZONE: "north"}, self.counts)
+        self.calls = ControlCalls(orders, self.reports, {ZONE: "north"}, machine_account(int, 200, self.counts))
 
     def submit(self, kind: str, body: object, on_done: object, identity: int = 0, caller: object = None) -> None:
         self.submitted.append((kind, body, identity))
--- a/tests/node/test_configuration_answers.py
+++ b/tests/node/test_configuration_answers.py
@@ -16,6 +16,8 @@
 from rampfront.consensus.restorations import Restoration
 from rampfront.consensus.state import State
 from rampfront.net.http_messages import UNKNOWN_TIMING, RequestTiming
+from rampfront.net.memory_account import MemoryAccount, machine_account
+from rampfront.node import control_calls
 from rampfront.node.control_calls import ControlCalls
 from rampfront.node.open_order import OpenOrder
 from rampfront.node.order_messages import MalformedMessageError, OrderReply, OrderRequest
@@ -53,7 +55,7 @@
 
     core = SimpleNamespace(submit=submit, next_identity=lambda: 1, clock=lambda: 0)
     reports = SimpleNamespace(report=lambda *_: None)
-    return ControlCalls(core, reports, {"hall": "north"}, Counter()), orders
+    return ControlCalls(core, reports, {"hall": "north"}, machine_account(int, 200, Counter())), orders
 
 
 def state_of_revision(number: int, word: str = "web") -> State:
@@ -202,3 +204,15 @@
     for caller in (FakeCall(of="cellar"), FakeCall()):
         answer = control()[0].start_evacuation(caller)
         assert (answer.status, json.loads(answer.body)["Field"]) == (400, "of")
+
+
+def test_a_configuration_that_finds_no_memory_is_not_read(monkeypatch):
+    """413 if it could never be read on this machine, 503 if others hold the memory now; neither submits an order."""
+    monkeypatch.setattr(control_calls.configuration_reader, "read", lambda body: pytest.fail("it was read"))
+    memory = MemoryAccount(int, 10_000, Counter())
+    calls = ControlCalls(None, None, {}, memory)
+    request = SimpleNamespace(body=b"[" + b"{}," * 40 + b"{}]")
+    assert calls.replace_configuration(request).status == 413
+    memory.capacity_bytes = 20_000
+    memory.open().set(12_000)
+    assert calls.replace_configuration(request).status == 503 and memory.used_bytes == 12_000
--- a/tests/node/test_given_up_orders.py
+++ b/tests/node/test_given_up_orders.py
@@ -21,6 +21,7 @@
 from rampfront.membership.roster import RosterEntry
 from rampfront.membership.versions import NO_VERSIONS
 from rampfront.net.http_messages import UNKNOWN_TIMING, RequestTiming
+from rampfront.net.memory_account import machine_account
 from rampfront.node.control_calls import ControlCalls
 from rampfront.node.order_messages import GIVEN_UP, LATE, OrderDeadline, OrderRequest
 from rampfront.node.order_submitter import ANSWER_TIMEOUT_NS, MAX_GAP_NS
@@ -288,7 +289,12 @@
     orders = SimpleNamespace(
         next_identity=lambda: 7, clock=lambda: 0, submit=lambda *about, **_: about[2](outcome, None)
     )
-    control = ControlCalls(orders, SimpleNamespace(report=lambda *about: reports.append(about)), {"a1"}, Counter())
+    control = ControlCalls(
+        orders,
+        SimpleNamespace(report=lambda *about: reports.append(about)),
+        {"a1"},
+        machine_account(int, 200, Counter()),
+    )
     closed = {}
     for outcome in (GIVEN_UP, None):
         call = RejectedCall()
