--- a/rampfront/node/log_events.py
+++ b/rampfront/node/log_events.py
@@ -50,6 +50,12 @@
     "revision error",
     "this program can't read a revision that the core took: it is older than the configuration",
 )
+BODIES_TOO_LARGE = LogEvent(
+    "bodies too large",
+    "warning",
+    "max_body_bytes memory_bytes",
+    "a request of `MaxBodyBytes` finds no memory on this machine (`memory_bytes`: the most that one gets): it gets 503",
+)
 EVACUATIONS_CHANGED = LogEvent("evacuations changed", "info", "zones", "the zones that are evacuated from now on")
 
 # The core.
--- a/rampfront/node/replicated_state.py
+++ b/rampfront/node/replicated_state.py
@@ -77,5 +77,12 @@
         configuration = found.ok_value
         self._log.record(log_events.CONFIGURATION_APPLIED, revision=state.revision)
         self._client_front.apply_caps(configuration.caps)
+        self._check_memory(configuration.caps.body_bytes)
         self._request_proxy.apply_configuration(configuration)
         self._quota_exchange.apply_limits(configuration.customers_by_name)
+
+    def _check_memory(self, max_body_bytes: int) -> None:
+        """Log that the configuration allows larger bodies than the machine has memory for."""
+        memory_bytes = self._client_front.memory.largest_charge_bytes
+        if max_body_bytes > memory_bytes:
+            self._log.record(log_events.BODIES_TOO_LARGE, max_body_bytes=max_body_bytes, memory_bytes=memory_bytes)
