The memory of a connection that is cut off counts as free at once

Cause: a client that gives way was cut off, but its charge stayed until the event loop reported the end of its connection, an iteration later; so every stalled client was cut off for one request, which was refused all the same. Found by reading the account's loop once more. Change: abort() releases the charge, in both connection classes.

--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -371,6 +371,7 @@
         """Closes the connection immediately and discards unsent data."""
         self.closing = True
         self.ignores_input = True
+        self.charge.release()
         self.transport.abort()
 
     def _end_stream(self) -> None:
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -302,6 +302,7 @@
         """Closes the connection immediately and discards unsent data."""
         self.closing = True
         self.ignores_input = True
+        self.charge.release()
         self.transport.abort()
 
     def _discard(self, size: int) -> None:
--- a/tests/net/test_memory_account.py
+++ b/tests/net/test_memory_account.py
@@ -142,3 +142,17 @@
     refusal = proxy.response("stalled")
     assert refusal.status == 503 and float(refusal["retry-after"]) > 0 and refusal["connection"] == "close"
     assert proxy.log.counts["dispatches"] == 1
+
+
+def test_no_more_clients_are_cut_off_than_the_memory_needs():
+    """The memory of a client that is cut off counts as free at once, not only when the event loop reports its end."""
+    proxy = ProxyHarness(TWO_SERVERS)
+    proxy.memory.capacity_bytes = 20_000
+    for name in ("a", "b"):
+        proxy.client(name).get_write_buffer_size = lambda: 1000
+        proxy.send_request(try_id=name, client=name)
+        proxy.respond(body=b"x" * 6000, try_id=name)
+    proxy.wait(2000)
+    proxy.send_request(WRITE, body=b"x" * 9000)
+    assert proxy.pending() and proxy.log.counts["memory_yielded"] == 1
+    assert sorted(proxy.pipes[name].closed for name in ("a", "b")) == [False, True]
