Bytes behind the last request of a connection do not hide that its response was read

Cause: input behind the last response was cut off at once where the delivery is waited for, as only refusals had set how much may be discarded. Change: what may be in flight is discarded there too. Measured: the new test fails on the commit before (Delivery.UNKNOWN at once) on both event loops, and passes.

--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -26,6 +26,7 @@
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
 from .memory_account import MemoryAccount, MemoryCharge, MemoryShortError
+from .request_size import MAX_IN_FLIGHT_BYTES
 from .tcp_state import TcpState, read_tcp_state
 
 RETRY_AFTER_S = b"0.3"  # sent with each 503 response
@@ -265,6 +266,7 @@
         self.charge.sending(self, self._owner.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         self._on_delivery = on_delivery
         if self.reader.last and on_delivery is not None:
+            self._discardable_bytes = MAX_IN_FLIGHT_BYTES
             self._end_stream()
         elif self.reader.last:
             self.close()
--- a/tests/net/test_response_delivery.py
+++ b/tests/net/test_response_delivery.py
@@ -136,3 +136,15 @@
     stage.server.sweep()
     stage.until(lambda: not stage.server.connections)
     assert stage.deliveries == [Delivery.UNKNOWN]
+
+
+def test_bytes_behind_the_last_request_do_not_hide_that_its_response_was_read(stage) -> None:
+    """Some callers send an empty line behind a body. It is discarded until they close."""
+    stage.respond(stage.call(CLOSE))
+    assert stage.caller.recv(1000).endswith(b"yes")
+    stage.caller.sendall(b"\r\n")
+    stage.run(asyncio.sleep(0.05))
+    assert not stage.deliveries
+    stage.caller.close()
+    stage.until(lambda: stage.deliveries)
+    assert stage.deliveries == [Delivery.DELIVERED]
