--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -11,6 +11,7 @@
 import httptools
 
 from .body_buffer import BodyBuffer
+from .closing_connection import ClosingConnection
 from .connection_timeouts import Phase
 from .exchange import AnyExchange
 from .http_parsing import CONTINUE_RESPONSE, feed_request
@@ -21,7 +22,7 @@
     HttpStatusError,
 )
 from .limits import NetworkLimits
-from .memory_account import FIELD_COST_BYTES, HEAD_COPIES, MemoryAccount, MemoryCharge, MemoryShortError
+from .memory_account import FIELD_COST_BYTES, HEAD_COPIES, MemoryAccount, MemoryShortError
 from .request_size import RequestSize
 
 _MAX_LENGTH_DIGITS = 9
@@ -65,23 +66,19 @@
         raise NotImplementedError
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(ClosingConnection, asyncio.BufferedProtocol):
     """One connection of a client. The methods `on_...` are the callbacks of `httptools`.
 
     Attributes:
         listener: its listener.
-        transport: the transport, once it is connected.
         parser: the parser of requests; None once the connection has ended.
         target: the request target.
         fields: the header fields that the protocol uses, by lower-case name.
         body: the body, as far as it was received.
         section_bytes: bytes of the head so far, then of the body.
-        charge: the memory of the request, then of its response.
         exchange: the exchange whose answer is pending.
         phase_since_ns: when the current phase began (`connection_timeouts`).
         message_begun: whether a request has begun and is not complete.
-        ignores_input: whether further input is discarded.
-        closing: whether the last response has been written.
         lingering: whether it stays open for a short time after a refusal, so that its client can read that.
         write_paused: whether writing is paused because the client reads its response too slowly.
         over_limit: whether it was opened past the limit of connections; it is closed after its first response.
@@ -91,18 +88,14 @@
 
     __slots__ = (
         "listener",
-        "transport",
         "parser",
         "target",
         "fields",
         "body",
         "section_bytes",
-        "charge",
         "exchange",
         "phase_since_ns",
         "message_begun",
-        "ignores_input",
-        "closing",
         "lingering",
         "write_paused",
         "over_limit",
@@ -111,24 +104,20 @@
         "_message_complete",
         "_size",
         "_keep_alive",
-        "_discardable_bytes",
     )
 
     def __init__(self, listener: ConnectionListener) -> None:
         """Starts unconnected; the event loop calls `connection_made`."""
+        super().__init__(listener.memory.open())
         self.listener = listener
-        self.transport: asyncio.Transport
         self.parser: httptools.HttpRequestParser | None = None
         self.target = b""
         self.fields = _NO_FIELDS
         self.body = BodyBuffer()
         self.section_bytes = 0
-        self.charge: MemoryCharge = listener.memory.open()
         self.exchange: AnyExchange | None = None
         self.phase_since_ns = 0
         self.message_begun = False
-        self.ignores_input = False
-        self.closing = False
         self.lingering = False
         self.write_paused = False
         self.over_limit = False
@@ -137,7 +126,6 @@
         self._message_complete = False
         self._size = RequestSize()
         self._keep_alive = True
-        self._discardable_bytes = 0  # of the input after a refusal
 
     @property
     def busy(self) -> bool:
@@ -196,7 +184,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parses the bytes that were read into the buffer."""
         if self.ignores_input:
-            self._discard(nbytes)
+            self.discard(nbytes)
             return
         self._size.received_bytes += nbytes
         assert self.parser is not None
@@ -334,7 +322,7 @@
         self.charge.set(len(head) + len(body))
         self.charge.sending(self, self.listener.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         if self.lingering:
-            self._end_stream()
+            self.end_output(self._size.discardable_bytes(self.listener.limits.max_body_bytes))
         elif last:
             self.close()
 
@@ -347,7 +335,6 @@
             self.ignores_input = True
             self.lingering = self.message_begun  # there may be more of its request
             self.message_begun = False
-            self._discardable_bytes = self._size.discardable_bytes(self.listener.limits.max_body_bytes)
             self.body.clear()
             self.parser = None  # it keeps an incomplete field
             self.listener.request_refused(self, error)
@@ -360,35 +347,6 @@
         else:
             self.abort()
 
-    def close(self) -> None:
-        """Closes the connection once the write buffer is flushed; the sweep aborts it if that takes too long."""
-        if not self.closing:
-            self.closing = True
-            self.ignores_input = True
-            self.transport.close()
-
-    def abort(self) -> None:
-        """Closes the connection immediately and discards unsent data."""
-        self.closing = True
-        self.ignores_input = True
-        self.charge.release()
-        self.transport.abort()
-
-    def _end_stream(self) -> None:
-        """Ends the output and waits for the client to close; the sweep aborts the connection if that takes too long."""
-        self.closing = True
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        else:
-            self.transport.close()
-
-    def _discard(self, size: int) -> None:
-        """Discards input after a refusal. A client that sends more than the rest of its request is cut off."""
-        if self.lingering:
-            self._discardable_bytes -= size
-            if self._discardable_bytes < 0:
-                self.abort()
-
     def _charge_request(self, received_bytes: int) -> HttpStatusError | None:
         """Charges the request as far as it was received. Returns the error if there is no memory for it."""
         if not self.message_begun and not self._message_complete:
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -19,13 +19,14 @@
 from collections.abc import Callable
 from typing import Protocol, assert_never, cast
 
+from .closing_connection import ClosingConnection
 from .connection_timeouts import Phase
 from .http_messages import JSON, TEXT, Delivery, DeliveryCallback, IncomingRequest, Response
 from .http_parsing import CONTINUE_RESPONSE
 from .http_request_reader import RequestReader
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
-from .memory_account import MemoryAccount, MemoryCharge, MemoryShortError
+from .memory_account import MemoryAccount, MemoryShortError
 from .request_size import MAX_IN_FLIGHT_BYTES
 from .tcp_state import TcpState, read_tcp_state
 
@@ -61,46 +62,33 @@
         raise NotImplementedError
 
 
-class HttpServerConnection(asyncio.Protocol):
+class HttpServerConnection(ClosingConnection, asyncio.Protocol):
     """One connection of the HTTP server.
 
     Attributes:
         reader: reads the requests.
-        charge: the memory of the request, then of its response.
         request: the request whose response is pending.
         phase_since_ns: when the current phase began (`connection_timeouts`).
-        closing: whether the last response has been written.
-        ignores_input: whether further input is discarded.
-        transport: the transport, once it is connected.
     """
 
     __slots__ = (
         "reader",
-        "charge",
         "request",
         "phase_since_ns",
-        "closing",
-        "ignores_input",
-        "transport",
         "_owner",
         "_unsent_bytes",
-        "_discardable_bytes",
         "_on_delivery",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
         """Starts unconnected; the event loop calls `connection_made`."""
-        self.charge: MemoryCharge = owner.memory.open()
+        super().__init__(owner.memory.open())
         self.reader = RequestReader(owner.limits.max_head_bytes, owner.body_limit, self.charge)
         self.reader.last = not owner.limits.keep_alive
         self.request: IncomingRequest | None = None
         self.phase_since_ns = 0
-        self.closing = False
-        self.ignores_input = False
         self._owner = owner
-        self.transport: asyncio.Transport
         self._unsent_bytes = 0  # of a response that the peer reads slowly, at the last check
-        self._discardable_bytes = 0  # of the input after a refusal
         self._on_delivery: DeliveryCallback | None = None  # of the last response
 
     @property
@@ -163,7 +151,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, and passes a complete request to the server."""
         if self.ignores_input:
-            self._discard(len(data))
+            self.discard(len(data))
             return
         self._report_delivery(Delivery.DELIVERED)
         reader = self.reader
@@ -266,8 +254,7 @@
         self.charge.sending(self, self._owner.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         self._on_delivery = on_delivery
         if self.reader.last and on_delivery is not None:
-            self._discardable_bytes = MAX_IN_FLIGHT_BYTES
-            self._end_stream()
+            self.end_output(MAX_IN_FLIGHT_BYTES)
         elif self.reader.last:
             self.close()
 
@@ -280,11 +267,12 @@
         self.ignores_input = True
         self.reader.last = True
         self.reader.message_begun = False
-        self._discardable_bytes = self.reader.discardable_bytes()
+        discardable_bytes = self.reader.discardable_bytes()
         self.reader.close()
         self.charge.release()
         self.transport.write(_encode_error(error, self._owner.limits.plain_text_errors))
-        self._end_stream()
+        self.phase_since_ns = self._owner.clock()
+        self.end_output(discardable_bytes)
 
     def give_way(self) -> None:
         """Ends a call that its sender does not finish, or a response that it does not read: memory is short."""
@@ -293,37 +281,6 @@
         else:
             self.abort()
 
-    def close(self) -> None:
-        """Closes the connection once the write buffer is flushed; the sweep aborts it if that takes too long."""
-        if not self.closing:
-            self.closing = True
-            self.ignores_input = True
-            self.transport.close()
-
-    def abort(self) -> None:
-        """Closes the connection immediately and discards unsent data."""
-        self.closing = True
-        self.ignores_input = True
-        self.charge.release()
-        self.transport.abort()
-
-    def _discard(self, size: int) -> None:
-        """Discards input after the last response. A peer that sends more than the rest of its request is cut off."""
-        if self.closing:
-            self._discardable_bytes -= size
-            if self._discardable_bytes < 0:
-                self.abort()
-
-    def _end_stream(self) -> None:
-        """Ends the output and waits for the peer to close; the sweep aborts the connection if that takes too long."""
-        self.closing = True
-        self.ignores_input = True
-        self.phase_since_ns = self._owner.clock()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        else:
-            self.transport.close()
-
     def _report_delivery(self, delivery: Delivery) -> None:
         """Reports the delivery of the last response, once."""
         on_delivery, self._on_delivery = self._on_delivery, None
