--- a/rampfront/config.py
+++ b/rampfront/config.py
@@ -128,7 +128,9 @@
     """What the process may use."""
 
     sockets: Annotated[int, Meta(ge=128, description="descriptors")] = 1024
-    memory_mb: Annotated[PositiveInt, Meta(description="memory")] = 192
+    memory_mb: Annotated[
+        PositiveInt, Meta(description="memory of the machine, in MB, which bounds what clients can make the node hold")
+    ] = 192
 
 
 class Logging(StrictTable, kw_only=True):
--- a/rampfront/net/http_server.py
+++ b/rampfront/net/http_server.py
@@ -1,8 +1,8 @@
 """The HTTP/1.1 server for calls of nodes, operators and the platform; `client_listener.py` serves clients' requests.
 
 A server listens on one address and passes each request to the handler that is declared for it (`http_routing`). It
-limits the number of connections and the size of their buffered bodies, ends slow connections (`connection_timeouts`),
-and responds with 500 if a handler raises an exception. It does not interpret requests.
+limits the number of connections and charges their memory (`memory_account`), ends slow connections
+(`connection_timeouts`), and responds with 500 if a handler raises an exception. It does not interpret requests.
 """
 
 import asyncio
--- a/rampfront/net/memory_account.py
+++ b/rampfront/net/memory_account.py
@@ -6,8 +6,8 @@
 A charge that would exceed the account is decided in two steps. First, peers that have stalled give way, the largest
 charge first. A peer has stalled if at its recent pace it would not finish within its timeout, however often it sends a
 little. If that does not suffice, the new charge is refused. A charge may moreover not exceed `MAX_CHARGE_FACTOR` times
-the memory that is left beside it, so that the largest charges always leave memory for small ones (the dynamic threshold
-of shared-memory switches: Choudhury and Hahne, 1998).
+the memory that is left beside it, so that the largest charges always leave memory for small ones (the dynamic queue
+thresholds of packet switches: Choudhury and Hahne, 1998).
 """
 
 from collections.abc import Callable, Iterator
--- a/rampfront/settings/settings_file.py
+++ b/rampfront/settings/settings_file.py
@@ -15,7 +15,10 @@
 
     cpu_share: Real = described("share of a core that the process gets", default=Real(1.0))
     cores: Real = described("how many times as fast as a usual core that core runs", default=Real(1.0))
-    memory_mb: Integer = described("memory limit, in MB; past it the process is killed", default=Integer(200))
+    memory_mb: Integer = described(
+        "memory limit, in MB; past it the process is killed. What clients can make it hold is bounded by it",
+        default=Integer(200),
+    )
     open_files: Integer = described(
         "limit of file descriptors; 200 of them are for files outside the data folder", default=Integer(4096)
     )
