The edge node: nothing stays charged behind a streamed answer

Cause: the request of a streamed answer was charged until the connection's next answer or its end, as a stream does not pass write_response; idle connections then held memory of the account that nothing could make give way. Found by reading. Change: the end of a stream charges what is still to be sent, and releases the rest. Measured: the new test fails without the change (5000 bytes stay) and passes with it.

--- a/rampfront/net/transaction_listener.py
+++ b/rampfront/net/transaction_listener.py
@@ -126,6 +126,7 @@
             self.transport.write(b"0\r\n\r\n")
         self.stream_source = None
         self.phase_since_ns = self.listener.clock()
+        self.charge.sending(self, self.listener.limits.write_timeout_ns, self.transport.get_write_buffer_size())
         if self._last_response:
             self.close()
 
--- a/tests/net/test_response_stream.py
+++ b/tests/net/test_response_stream.py
@@ -125,6 +125,21 @@
     assert source.transport.reading and source.reader.stream.last_progress_ns == now[0]
 
 
+def test_nothing_stays_charged_behind_a_stream():
+    """The request of a streamed response is charged until the response is complete, as there is no other answer."""
+    memory = machine_account(lambda: 0, 200, {})
+    listener = SimpleNamespace(clock=lambda: 0, memory=memory, limits=compute_limits(1024, 1, 1))
+    listener.closes_connections = False
+    client = TransactionConnection(listener)
+    client.transport = SimpleNamespace(write=lambda data: None, get_write_buffer_size=lambda: 0)
+    client.charge.raise_to(5000)
+    client.charge.received()
+    client.stream(SimpleNamespace(length=3))
+    client.write_stream(b"yes")
+    client.stream_complete()
+    assert memory.used_bytes == 0
+
+
 def test_bytes_behind_a_stream_spoil_the_connection_alone():
     """Invalid bytes after a streamed response close the server connection, and do not affect the response."""
     s = Stage()
