A request stays charged when the response before it turns out to be sent

Found by reading. Change: a request that begins behind an unsent response starts a charge of its own, on top of what is unsent.

--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -229,6 +229,8 @@
             self.listener.counts["pipelined"] += 1
             raise HttpStatusError(BAD_REQUEST, "one txn at a time")
         self.message_begun = True
+        if self.charge.is_sending:
+            self.charge.restart(self.transport.get_write_buffer_size())
         if not self.fresh:  # the timeout of the first request runs from the connect, to refuse bad clients early
             self.phase_since_ns = self.listener.swept_ns
         self.target = b""
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -155,6 +155,8 @@
             return
         self._report_delivery(Delivery.DELIVERED)
         reader = self.reader
+        if self.charge.is_sending:
+            self.charge.restart(self.transport.get_write_buffer_size())
         had_begun = reader.message_begun
         error = reader.feed(data)
         if reader.message_begun and not had_begun:
--- a/rampfront/net/memory_account.py
+++ b/rampfront/net/memory_account.py
@@ -50,12 +50,13 @@
         size: its bytes.
     """
 
-    __slots__ = ("size", "_account", "_holder", "_timeout_ns", "_stalls_at_ns", "_unsent_bytes")
+    __slots__ = ("size", "_account", "_base_bytes", "_holder", "_timeout_ns", "_stalls_at_ns", "_unsent_bytes")
 
     def __init__(self, account: "MemoryAccount") -> None:
         """Starts with nothing charged."""
         self.size = 0
         self._account = account
+        self._base_bytes = 0  # of a response that was not sent when the request behind it began
         self._holder: ChargeHolder | None = None  # while a peer is waited for
         self._timeout_ns = 0
         self._stalls_at_ns = 0
@@ -65,8 +66,15 @@
 
     def raise_to(self, size: int) -> None:
         """Raises the charge to at least `size` bytes. Raises MemoryShortError, and leaves the charge as it was."""
-        if size > self.size:
-            self._account.admit(self, size - self.size)
+        added_bytes = self._base_bytes + size - self.size
+        if added_bytes > 0:
+            self._account.admit(self, added_bytes)
+
+    def restart(self, unsent_bytes: int) -> None:
+        """Begins to charge a request, while `unsent_bytes` of the response before it are still to be sent."""
+        self.release()
+        self.set(unsent_bytes)
+        self._base_bytes = unsent_bytes
 
     def set(self, size: int) -> None:
         """Sets the charge without a check, for memory that is already in use."""
@@ -77,6 +85,7 @@
         """Releases the charge; it may be used again."""
         self._account.used_bytes -= self.size
         self.size = 0
+        self._base_bytes = 0
         self._holder = None
         self._unsent_bytes = 0
 
--- a/tests/net/test_memory_account.py
+++ b/tests/net/test_memory_account.py
@@ -144,6 +144,23 @@
     assert proxy.log.counts["dispatches"] == 1
 
 
+def test_a_request_behind_a_response_stays_charged_when_the_response_is_sent():
+    """The sweep finds the response sent, and releases its memory, not that of the request that has begun since."""
+    proxy = ProxyHarness(TWO_SERVERS)
+    client = proxy.client()
+    proxy.send_request()
+    client.get_write_buffer_size = lambda: 300
+    proxy.respond()
+    client.feed(
+        b"POST /write/x HTTP/1.1\r\nHost: host.example\r\nTry-Id: s\r\nContent-Length: 6000\r\n\r\n" + b"x" * 5000
+    )
+    client.get_write_buffer_size = lambda: 0
+    proxy.client_front.sweep()
+    assert 6300 < proxy.memory.used_bytes < 9000
+    client.cut()
+    assert proxy.memory.used_bytes == 0
+
+
 def test_no_more_clients_are_cut_off_than_the_memory_needs():
     """The memory of a client that is cut off counts as free at once, not only when the event loop reports its end."""
     proxy = ProxyHarness(TWO_SERVERS)
