--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -110,6 +110,8 @@
     "servers_ready": "Servers of that list that are ready.",
     "server_list_age_seconds": "Time since that list changed.",
     "client_connections": "Connections of clients that are open.",
+    "memory_charged_bytes": "What requests, calls and answers occupy, by the memory account.",
+    "memory_capacity_bytes": "The most that they may occupy on this machine.",
     "quota_counter_silent": "1: the counter of quotas does not answer, and the node goes by its even share.",
 }
 
--- a/rampfront/node/metrics_page.py
+++ b/rampfront/node/metrics_page.py
@@ -91,6 +91,8 @@
     yield from _core_gauges(node, now)
     yield from _fleet_gauges(node, now)
     yield "client_connections", len(node.client_front.clients)
+    yield "memory_charged_bytes", node.client_front.memory.used_bytes
+    yield "memory_capacity_bytes", node.client_front.memory.capacity_bytes
     yield "quota_counter_silent", node.quota_exchange.limiter.is_isolated(now)
 
 
