Input behind an answer that its client does not read does not wait in the kernel

Cause: both servers stopped reading a connection whose peer reads its response slowly, so that the kernel kept whatever still came, up to its window. Change: they read on. A request before the response is read is refused as one before the response is there always was (400, one at a time); behind the refusal the rest is discarded within its bound. Every refusal now waits for the client's end, since more may come behind it. What such a client has still to read stays charged. The tests of crowds use an address of their own for each run: two beside each other measured each other's unread bytes.

--- a/rampfront/net/client_connection.py
+++ b/rampfront/net/client_connection.py
@@ -203,29 +203,26 @@
             self.listener.request_received(self)
 
     def pause_writing(self) -> None:
-        """The client reads its response too slowly: stops reading requests until it has caught up."""
+        """The client reads its response too slowly. Its input is read on, so that it does not wait in the kernel; a
+        request before the response is read is refused."""
         self.write_paused = True
         self.phase_since_ns = self.listener.swept_ns
         unsent_bytes = self.transport.get_write_buffer_size()
         if unsent_bytes > self.charge.size:  # of a stream, which has no charge before
             self.charge.set(unsent_bytes)
         self.charge.sending(self, self.listener.limits.write_timeout_ns, unsent_bytes)
-        if not self.closing:
-            self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """The client has read its response: reads requests again."""
+        """The client has caught up with its response."""
         self.write_paused = False
         self.phase_since_ns = self.listener.swept_ns
         self.charge.note_unsent(self.transport.get_write_buffer_size())
-        if not self.closing:
-            self.transport.resume_reading()
 
     # ---- called by the parser
 
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
-        if self.busy or self._message_complete or self.ignores_input:
+        if self.busy or self._message_complete or self.ignores_input or self.write_paused:
             self.listener.counts["pipelined"] += 1
             raise HttpStatusError(BAD_REQUEST, "one txn at a time")
         self.message_begun = True
@@ -321,8 +318,9 @@
             self.transport.writelines((head, body))
         else:
             self.transport.write(head + body)
-        self.charge.set(len(head) + len(body))
-        self.charge.sending(self, self.listener.limits.write_timeout_ns, self.transport.get_write_buffer_size())
+        unsent_bytes = self.transport.get_write_buffer_size()
+        self.charge.set(max(len(head) + len(body), unsent_bytes))
+        self.charge.sending(self, self.listener.limits.write_timeout_ns, unsent_bytes)
         if self.lingering:
             self.end_output(self._size.discardable_bytes(self.listener.limits.max_body_bytes))
         elif last:
@@ -335,7 +333,7 @@
         """
         if not self.closing:
             self.ignores_input = True
-            self.lingering = self.message_begun  # there may be more of its request
+            self.lingering = True  # there may be more input
             self.message_begun = False
             self.body.clear()
             self.parser = None  # it keeps an incomplete field
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -181,19 +181,18 @@
             self._owner.request_received(self)
 
     def pause_writing(self) -> None:
-        """The peer reads its response too slowly: stops reading requests until it has caught up."""
+        """The peer reads its response too slowly. Its input is read on, so that it does not wait in the kernel; a
+        request before the response is read is refused."""
         self._unsent_bytes = self.transport.get_write_buffer_size()
         self.phase_since_ns = self._owner.clock()
-        if not self.closing:
-            self.transport.pause_reading()
+        self.reader.awaiting_response = True
 
     def resume_writing(self) -> None:
         """The peer has read its response: reads requests again."""
         self._unsent_bytes = 0
         self.phase_since_ns = self._owner.clock()
         self.charge.note_unsent(self.transport.get_write_buffer_size())
-        if not self.closing:
-            self.transport.resume_reading()
+        self.reader.awaiting_response = self.request is not None
 
     # ---- called by the sweep
 
@@ -252,8 +251,7 @@
         self.reader.last = self.reader.last or is_last or self._owner.draining
         encoded = _encode_response(response, close=self.reader.last, omit_body=is_head)
         self.transport.write(encoded)
-        self.charge.set(len(encoded))
-        self.charge.sending(self, self._owner.limits.write_timeout_ns, self.transport.get_write_buffer_size())
+        self._charge_output(len(encoded))
         self._on_delivery = on_delivery
         if self.reader.last and on_delivery is not None:
             self.end_output(MAX_IN_FLIGHT_BYTES)
@@ -271,8 +269,9 @@
         self.reader.message_begun = False
         discardable_bytes = self.reader.discardable_bytes()
         self.reader.close()
-        self.charge.release()
-        self.transport.write(_encode_error(error, self._owner.limits.plain_text_errors))
+        encoded = _encode_error(error, self._owner.limits.plain_text_errors)
+        self.transport.write(encoded)
+        self._charge_output(len(encoded))
         self.phase_since_ns = self._owner.clock()
         self.end_output(discardable_bytes)
 
@@ -283,6 +282,12 @@
         else:
             self.abort()
 
+    def _charge_output(self, size: int) -> None:
+        """Charges what was written, in place of the request that it responds to, until the peer has read it."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        self.charge.set(max(size, unsent_bytes))
+        self.charge.sending(self, self._owner.limits.write_timeout_ns, unsent_bytes)
+
     def _report_delivery(self, delivery: Delivery) -> None:
         """Reports the delivery of the last response, once."""
         on_delivery, self._on_delivery = self._on_delivery, None
--- a/tests/crowds/crowd_system.py
+++ b/tests/crowds/crowd_system.py
@@ -31,6 +31,7 @@
 MB = 10**6  # the unit of `MemoryMb`, in which a machine's memory is stated
 MEMORY_MB = 200  # of the machine: the default of the settings file
 OPEN_FILES = 1024
+OWN_HOST = f"127.1.{os.getpid() % 250}.1"  # so that two runs beside each other do not measure each other's sockets
 SAMPLE_INTERVAL_S = 0.05
 ORDINARY_TRIES = 8  # a client honours the time that a refusal names, and tries again
 ORDINARY_TIMEOUT_S = 20.0
@@ -123,7 +124,7 @@
 
     def __init__(self, loop, folder, memory_mb: int = MEMORY_MB, answer_bytes: int = 64) -> None:
         configuration = json.dumps(configuration_with_longer_routes()).encode()
-        super().__init__(loop, SystemSize(1, "127.0.9.1", 3), configuration, folder)
+        super().__init__(loop, SystemSize(1, OWN_HOST, 3), configuration, folder)
         self.memory_mb = memory_mb
         self.answer_bytes = answer_bytes
         self.meter: ProcessMeter
--- a/tests/crowds/test_edge_node.py
+++ b/tests/crowds/test_edge_node.py
@@ -8,7 +8,7 @@
 import crowd_clients as clients
 import pytest
 from crowd_clients import KIB, MIB
-from crowd_system import ANSWERS_WITHIN_S, ProcessMeter, ask_repeatedly, require_refused
+from crowd_system import ANSWERS_WITHIN_S, OWN_HOST, ProcessMeter, ask_repeatedly, require_refused
 
 from rampfront.lab.http import Connection as ServerConnection
 from rampfront.lab.http import HttpServerBase, Listener
@@ -59,8 +59,8 @@
 
     def __init__(self, folder):
         self.folder = folder
-        self.address = f"127.0.10.1:{free_port('127.0.10.1')}"
-        self.mqtt = f"127.0.10.1:{free_port('127.0.10.1')}"
+        self.address = f"{OWN_HOST}:{free_port(OWN_HOST)}"
+        self.mqtt = f"{OWN_HOST}:{free_port(OWN_HOST)}"
         self.clients = []
         self.findings = []
 
@@ -88,7 +88,7 @@
                 stderr=log,
                 env={**child_environment(), "RELAY_CONFIG": str(path)},
             )
-        self.meter = ProcessMeter(self.child.pid, "127.0.10.1")
+        self.meter = ProcessMeter(self.child.pid, OWN_HOST)
         status = await ask_repeatedly(self.address, "GET", "/-/ready")
         assert status == 200, (self.folder / "node.log").read_text()
 
--- a/tests/net/test_client_connections.py
+++ b/tests/net/test_client_connections.py
@@ -103,6 +103,16 @@
     s.check("slow_reader")
 
 
+def test_a_request_before_the_answer_is_read_is_refused():
+    """Its input is read and discarded: bytes that wait in the kernel would count as memory of the machine."""
+    s = Stage()
+    s.ask(1)
+    s.reply("s0")
+    s.pipes["a"].protocol.pause_writing()
+    s.ask(2)
+    s.check("read_before_asking")
+
+
 def test_idle_clients_make_room_before_newcomers_are_rejected():
     """At the limit of descriptors idle connections are closed first; if none is idle, the newest are rejected."""
     s = Stage(servers=22, limits={"sockets": 128})
