--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -53,7 +53,8 @@
 def print_outcome(reporter: Any, known: dict[str, KnownRed]) -> None:
     """Prints the outcome of each listed test that was run. `reporter` is pytest's terminal reporter."""
     for outcome, reports in reporter.stats.items():
-        for report in reports if outcome else ():  # set-up and tear-down phases that passed have no outcome
+        # Set-up and tear-down phases that passed have no outcome; a deselected test belongs to another run.
+        for report in reports if outcome not in ("", "deselected") else ():
             if row := known.get(getattr(report, "nodeid", "")):
                 ended = "failed, as listed" if outcome == "xfailed" else f"{outcome}: CI FAILS, see KNOWN-RED.txt"
                 reporter.write_line(f"KNOWN RED {ended}: {row.test}\n  cause: {row.cause} ({row.issue})")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -61,3 +61,11 @@
     ran = pytester.runpytest_subprocess("-q", "-p", "no:cacheprovider")
     assert ran.ret == code
     ran.stdout.fnmatch_lines([says])
+
+
+def test_a_listed_test_that_another_run_plays_is_not_mentioned(pytester: pytest.Pytester) -> None:
+    pytester.makeconftest(CONFTEST.format(folder=str(ROOT / "tests"), text=LINE))
+    pytester.makepyfile(test_here="def test_a(): assert 0\ndef test_b(): pass")
+    ran = pytester.runpytest_subprocess("-q", "-p", "no:cacheprovider", "-k", "test_b")
+    assert ran.ret == 0
+    ran.stdout.no_fnmatch_line("*KNOWN RED*")
