--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -516,9 +516,13 @@
         finally:
             await cell.stop()
 
+    def interrupt(*_):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupt)  # the nodes are ended then, too
     try:
         breaches = asyncio.run(run())
-    except (CouldNotRun, OSError, TimeoutError) as error:
+    except (Exception, KeyboardInterrupt) as error:  # also an error of the script: it must not count as a breach
         record(f"could not run: {error!r}")
         sys.exit(2)
     for breach in breaches:
