--- a/review/4/play.py
+++ b/review/4/play.py
@@ -28,6 +28,7 @@
     """Returns the breaches of CONFIG."""
     await cell.start(lambda _: [c.Server(record, "registry-core", zone, answer) for zone in c.ZONES], configuration(1))
     record("r1 is acknowledged")
+    await asyncio.sleep(3.0)  # the core takes its first orders with three members; by now the fourth is in
     if trouble:  # `seed_turnover`: the settings name other seeds, which serve control as all machines do
         cell.seeds = DISKLESS
     else:  # the seeds stay machines of the core, as far as these stay
