--- a/rampfront/consensus/context.py
+++ b/rampfront/consensus/context.py
@@ -42,7 +42,7 @@
 
 
 class MemberContext:
-    """Context shared by all components of one member. Only `Member` calls `begin`, `note_shutdown`, `change_seeds`."""
+    """Context shared by all components of one member. `Member` alone calls `begin` and what sets addresses."""
 
     def __init__(self, settings: MemberSettings, random: Random, now: TimeNs) -> None:
         """Creates the context of one member.
@@ -53,6 +53,7 @@
         self.random = random
         self.now = now
         self.seeds = list(settings.seeds)
+        self.contacts: Sequence[str] = ()
         self.is_shutting_down = False
         self.effects: list[Effect] = []
 
@@ -69,6 +70,10 @@
         """Replaces the seeds after a change of settings."""
         self.seeds = list(ips)
 
+    def learn_contacts(self, ips: Sequence[str]) -> None:
+        """Replaces the addresses at which other parts of the node last knew the leader and the members."""
+        self.contacts = ips
+
     def draw(self, timeout: Timeout) -> DurationNs:
         """Draws a random duration from the range of a timeout."""
         return self.random.randrange(timeout.shortest, timeout.longest)
--- a/rampfront/consensus/leader_discovery.py
+++ b/rampfront/consensus/leader_discovery.py
@@ -8,6 +8,8 @@
   contains its join token for this term. Only requests with that token are accepted, so that a delayed request cannot
   bring back a removed incarnation.
 - A member without a leader for a long time queries the seeds too, since all members it knows may have been replaced.
+- The seeds need not have a member of the core. Whatever process a node reaches passes on the leader and the state that
+  it knows (`membership/dissemination.py`); the node hands these addresses to its member as contacts.
 - A hint may state that the receiver's removal is committed. The receiver then rejoins as a new incarnation
   (`receive_hint` returns the leader's address; `MessageHandler` and `Roles` do the rest).
 
@@ -105,6 +107,7 @@
         ips = dict.fromkeys(self._context.seeds[:MAX_SEEDS])
         ips.update(dict.fromkeys(entry.addresses() if entry is not None else ()))
         ips.update(dict.fromkeys(self._persistent.member_ips))
+        ips.update(dict.fromkeys(self._context.contacts))
         if self.leader_ip is not None:
             ips[self.leader_ip] = None
         ips.pop(self._context.settings.ip, None)
--- a/rampfront/consensus/member.py
+++ b/rampfront/consensus/member.py
@@ -112,6 +112,18 @@
         """Replaces the seeds; allowed at any time."""
         self._context.change_seeds(ips)
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this incarnation is a member of the core, according to the newest local entry."""
+        return self._persistent.is_member()
+
+    def learn_contacts(self, ips: Sequence[str]) -> None:
+        """Replaces the addresses at which the node last knew the leader and the members, from whatever source.
+
+        They are places to ask for the leader and nothing else: they give no vote and found no core.
+        """
+        self._context.learn_contacts(ips)
+
     def is_leadership_expired(self, now: TimeNs) -> bool:
         """Whether this member is a leader with an expired lease; it then steps down at the next `take`."""
         return self.roles.leader is not None and self.roles.leader.is_expired(now)
--- a/rampfront/membership/dissemination.py
+++ b/rampfront/membership/dissemination.py
@@ -137,7 +137,7 @@
         self.schedule.seeds = seeds
 
     def remember_nodes(self, addresses: Iterable[str]) -> None:
-        """Loads node addresses from the disk; this node announces itself to them once it becomes the leader."""
+        """Sets the node addresses of the core's record. As the leader, this node announces itself to silent ones."""
         self._remembered.load(address for address in addresses if address != self._own.ip)
 
     def set_ready(self, ready: bool) -> None:
@@ -199,7 +199,8 @@
         if self.leader:
             self._host.send(self.leader, frame)
         if not in_contact or not self.leader:
-            alternate = self.schedule.alternate_target([entry.ip for entry in self.roster], had_response)
+            known_ips = [entry.ip for entry in self.roster] or self._remembered.addresses
+            alternate = self.schedule.alternate_target(known_ips, had_response)
             if alternate:
                 self._host.send(alternate, frame)
 
--- a/rampfront/membership/heartbeats.py
+++ b/rampfront/membership/heartbeats.py
@@ -67,7 +67,7 @@
         """Chooses the node to contact besides the leader from known nodes and seeds, in turn and at random alternately.
 
         Args:
-            known_ips: addresses on the roster.
+            known_ips: addresses on the roster, or of the nodes known before a restart.
             had_response: whether any node has ever answered.
 
         Returns:
--- a/rampfront/node/assembly.py
+++ b/rampfront/node/assembly.py
@@ -134,7 +134,7 @@
     def build_core(self) -> None:
         """Build the parts that agree on the state, apply it, and handle the orders that change it."""
         context, disseminator = self.context, self.disseminator
-        self.core = CoreDriver(context)
+        self.core = CoreDriver(context, disseminator)
         self.replicated_state = ReplicatedState(
             context, disseminator, self.request_proxy, self.client_front, self.quota_exchange
         )
--- a/rampfront/node/core_driver.py
+++ b/rampfront/node/core_driver.py
@@ -23,6 +23,7 @@
     from ..consensus.member import Member
     from ..consensus.record_store import RecordStore
     from ..consensus.state import State
+    from ..membership.dissemination import Disseminator
     from .context import NodeContext
     from .order_messages import OrderKey, OrderRequest
     from .receivers import LeadershipObserver, OrderAnswerReceiver, StateReceiver
@@ -31,9 +32,11 @@
 class CoreDriver:
     """Owns this node's member and its record on disk, and performs the member's effects."""
 
-    def __init__(self, context: NodeContext) -> None:
-        """Build a driver without a member; `recover` creates one on a node with a disk."""
+    def __init__(self, context: NodeContext, disseminator: Disseminator) -> None:
+        """Build a driver without a member; `recover` creates one on a node with a disk. `disseminator` knows which
+        leader other nodes follow."""
         self._context = context
+        self._disseminator = disseminator
         self._orders: OrderAnswerReceiver
         self._replicated_state: StateReceiver
         self._leadership: LeadershipObserver
@@ -125,9 +128,20 @@
         self.handle(None)
 
     def tick(self) -> None:
-        """Let the member handle its timeouts; to be called about ten times a second."""
+        """Let the member handle its timeouts; to be called about ten times a second.
+
+        A newcomer, and a member that was away, may know no address at which a member still is. Other nodes know them,
+        whether or not they have a member themselves.
+        """
+        if self.member is not None and not self.member.is_leader:
+            self.member.learn_contacts(self._contacts())
         self.handle(events.Tick())
 
+    def _contacts(self) -> list[str]:
+        """Return the addresses of the leader that other nodes follow, and of the members in the state in force."""
+        leader, state = self._disseminator.leader, self._context.snapshots.state
+        return ([leader] if leader else []) + (state.addresses() if state is not None else [])
+
     def leave(self) -> None:
         """Tell the member that this process is shutting down."""
         self.handle(events.Shutdown())
--- a/rampfront/node/dissemination_adapter.py
+++ b/rampfront/node/dissemination_adapter.py
@@ -97,9 +97,10 @@
         """Handle a change of the roster.
 
         Updates the number of proxies and the placement of the quota counter, and stores the nodes' addresses, which
-        this node contacts after a restart.
+        this node contacts after a restart, and the leader if they fall silent.
         """
         count = max(1, sum(entry.ready for entry in self._disseminator.roster))
         self._quota_exchange.update_proxy_count(count)
         if self._core.has_member:
             self._core.remember_nodes([entry.ip for entry in self._disseminator.roster])
+            self._disseminator.remember_nodes(self._core.remembered_nodes)
--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -54,6 +54,7 @@
     def __init__(self):
         self.is_leader, self.quorum_confirmed_at, self.leader_ip = True, None, OWN_IP
         self.orders, self.committed, self.effects = [], committed_state(), []
+        self.node_ips = []
 
     def is_leadership_expired(self, now):
         return False
@@ -61,6 +62,9 @@
     def remember_nodes(self, ips):
         pass
 
+    def learn_contacts(self, ips):
+        pass
+
     def take(self, now, event):
         if type(event) is events.Order:
             self.orders.append(event)
