A core below its target and a newcomer outside the core are shown

What operators saw: nothing.

Change: metrics core_below_target_seconds (leader) and core_outside_seconds (a node with a disk that is no member), the same times as BelowTargetMs and OutsideCoreMs in state.read, lines in `status`, and the events "core below target" and "outside the core" with for_ms, from 4 s on.

--- a/rampfront/consensus/core_strength.py
+++ b/rampfront/consensus/core_strength.py
@@ -37,12 +37,14 @@
     """Membership status of the core.
 
     `wanted`: the target number of members. `full_for`: how long in ns the core has been at full strength in this
-    leader's term, or None if it is not at full strength.
+    leader's term, or None if it is not at full strength. `below_target_for`: how long in ns fewer members than wanted
+    have responded in this term, or None if enough do.
     """
 
     wanted: int
     members: list[MemberStatus]
     full_for: DurationNs | None
+    below_target_for: DurationNs | None
 
 
 class StrengthMonitor:
@@ -54,22 +56,29 @@
         self._replication = replication
         self._survive = survive
         self.full_since: TimeNs | None = None
+        self.below_target_since: TimeNs | None = None
 
     def watch(self, entry: State, is_committed: bool, now: TimeNs) -> None:
         """Updates the status at each tick. `entry`: the newest entry; `is_committed`: whether it is committed."""
         replicas = self._replication.replicas.values()
         is_staying = not any(self._replication.is_silent(each) or each.is_shutting_down for each in replicas)
         is_changing = entry.previous_members is not None or bool(self._membership.learners)
-        has_enough = len(entry.members) >= wanted_size(entry, self._survive)
+        wanted = wanted_size(entry, self._survive)
+        has_enough = len(entry.members) >= wanted
         if not is_committed or not is_staying or is_changing or not has_enough:
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
+        if len(entry.members) - len(self._replication.silent_keys()) >= wanted:
+            self.below_target_since = None
+        elif self.below_target_since is None:
+            self.below_target_since = now
 
     def strength(self, entry: State, now: TimeNs) -> CoreStrength:
         """Returns the status at time `now`."""
-        full_for = None if self.full_since is None else max(0, now - self.full_since)
-        return CoreStrength(wanted_size(entry, self._survive), self._member_statuses(entry), full_for)
+        full_for, below_target_for = _elapsed(self.full_since, now), _elapsed(self.below_target_since, now)
+        wanted = wanted_size(entry, self._survive)
+        return CoreStrength(wanted, self._member_statuses(entry), full_for, below_target_for)
 
     def _member_statuses(self, entry: State) -> list[MemberStatus]:
         """Returns the status of all members, then of all learners, each sorted by name."""
@@ -97,3 +106,8 @@
         if is_silent:
             return MemberCondition.REPLACED if is_surplus else MemberCondition.SILENT
         return MemberCondition.VOTER
+
+
+def _elapsed(since: TimeNs | None, now: TimeNs) -> DurationNs | None:
+    """Returns the time since `since`; None if that is None."""
+    return None if since is None else max(0, now - since)
--- a/rampfront/node/core_driver.py
+++ b/rampfront/node/core_driver.py
@@ -106,6 +106,11 @@
         """Return what the leader knows about the core's members; None on all other nodes."""
         return self.member.core_strength(now) if self.member is not None else None
 
+    @property
+    def is_outside_core(self) -> bool:
+        """Whether this node has a disk and its member is not in the core, so that it counts in no majority."""
+        return self.member is not None and not self.member.is_member
+
     @property
     def remembered_nodes(self) -> list[str]:
         """Addresses of the nodes stored with the member's record."""
--- a/rampfront/node/log_events.py
+++ b/rampfront/node/log_events.py
@@ -62,6 +62,18 @@
 LEADERSHIP_GAINED = LogEvent("leadership gained", "info", "term", "this node leads the core")
 LEADERSHIP_LOST = LogEvent("leadership lost", "info", "term", "this node no longer leads the core")
 CORE_MEMBERS_CHANGED = LogEvent("core members changed", "info", "members", "the members of the core from now on")
+CORE_BELOW_TARGET = LogEvent(
+    "core below target",
+    "warning",
+    "party wanted for_ms",
+    "at the leader: fewer members answer than are wanted, for over 4 s; a successor is missing or is not taken in",
+)
+OUTSIDE_CORE = LogEvent(
+    "outside the core",
+    "warning",
+    "party for_ms",
+    "this node has a disk and has been no member of the core for over 4 s: it counts in no majority",
+)
 RECORD_UNREADABLE = LogEvent(
     "record unreadable",
     "error",
--- a/rampfront/node/metrics.py
+++ b/rampfront/node/metrics.py
@@ -104,6 +104,8 @@
     "core_learners": "At the leader: nodes that catch up in order to become members.",
     "core_full_strength": "At the leader: 1 while the core is at full strength.",
     "core_full_strength_seconds": "At the leader: for how long, in its term.",
+    "core_below_target_seconds": "At the leader: for how long, in its term, too few members have answered.",
+    "core_outside_seconds": "For how long this node, with a disk, has been no member of the core; 0 for a member.",
     "nodes_known": "Nodes of the roster.",
     "nodes_ready": "Nodes of the roster that are ready.",
     "servers_listed": "Servers of the list in force here.",
--- a/rampfront/node/metrics_page.py
+++ b/rampfront/node/metrics_page.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
 
+    from ..consensus.core_strength import CoreStrength
     from ..net.http_messages import IncomingRequest
     from ..net.latency_histogram import LatencyHistogram
     from .node_process import NodeProcess
@@ -123,10 +124,15 @@
 
 
 def _core_gauges(node: NodeProcess, now: int) -> Iterator[tuple[str, float]]:
-    """Yield the gauges of the core's members, whose values only the leader knows."""
+    """Yield the gauges of the core's members; all but the last are known to the leader alone."""
     strength = node.core.strength(now)
-    if strength is None:
-        return
+    if strength is not None:
+        yield from _strength_gauges(strength)
+    if node.core.has_member:
+        yield "core_outside_seconds", (node.leadership.outside_core_for(now) or 0) / SEC
+
+
+def _strength_gauges(strength: CoreStrength) -> Iterator[tuple[str, float]]:
     from ..consensus.core_strength import MemberCondition  # loaded only by members of the core: see `core_driver`
 
     conditions = [row.condition for row in strength.members]
@@ -139,6 +145,7 @@
     yield "core_learners", conditions.count(MemberCondition.LEARNER)
     yield "core_full_strength", strength.full_for is not None
     yield "core_full_strength_seconds", (strength.full_for or 0) / SEC
+    yield "core_below_target_seconds", (strength.below_target_for or 0) / SEC
 
 
 def _fleet_gauges(node: NodeProcess, now: int) -> Iterator[tuple[str, float]]:
--- a/rampfront/node/node_process.py
+++ b/rampfront/node/node_process.py
@@ -77,6 +77,7 @@
         self.context.scheduler.call_after(TICK_NS if has_lease else FIRST_TICK_NS, self.tick)
         now = self.context.clock()
         self.core.tick()
+        self.leadership.report(now)
         self.disseminator.tick(now)
         self.order_executor.tick(now)
         self.orders.tick(now)
--- a/rampfront/node/status_views.py
+++ b/rampfront/node/status_views.py
@@ -85,6 +85,7 @@
             "Revision": f"r{state.revision}" if state and state.revision else None,
             "Members": [[name, ip] for name, (ip, _) in sorted(state.members.items())] if state else [],
             "Core": self._core_fields(now),
+            "OutsideCoreMs": _to_ms(node.leadership.outside_core_for(now)),
             "Emptied": sorted(state.evacuated_zones) if state else [],
             "Evacuations": [evacuation_view(zone, state) for zone in sorted(state.evacuated_zones)] if state else [],
             "Zones": settings.zones,
@@ -103,7 +104,8 @@
             return None
         return {
             "Wanted": strength.wanted,
-            "FullMs": None if strength.full_for is None else strength.full_for // MS,
+            "FullMs": _to_ms(strength.full_for),
+            "BelowTargetMs": _to_ms(strength.below_target_for),
             "Members": [{"Name": row.name, "Ip": row.ip, "State": row.condition} for row in strength.members],
         }
 
@@ -115,7 +117,7 @@
             "WordAgeMs": None if age is None else max(0, age) // MS,
             "LeaseMs": lease.duration // MS,
             "Fresh": lease.is_valid(now),
-            "LeaderSilentMs": None if silent_for is None else silent_for // MS,
+            "LeaderSilentMs": _to_ms(silent_for),
         }
 
     def _retry_budgets(self) -> dict[str, float]:
@@ -171,7 +173,11 @@
     def _view(self, fields: dict[str, Any]) -> Response:
         """Return an answer with the given fields, and for how long the node has been out of touch."""
         out_of_touch_for = self._node.lease.out_of_touch_for(self._node.context.clock())
-        return json_response({**fields, "OutOfTouchMs": None if out_of_touch_for is None else out_of_touch_for // MS})
+        return json_response({**fields, "OutOfTouchMs": _to_ms(out_of_touch_for)})
+
+
+def _to_ms(duration_ns: int | None) -> int | None:
+    return None if duration_ns is None else duration_ns // MS
 
 
 def page_of(request: IncomingRequest, rows: Iterable[T], id_of: Callable[[T], str]) -> tuple[list[T], str | None]:
--- a/rampfront/operator_cli/system_status.py
+++ b/rampfront/operator_cli/system_status.py
@@ -164,6 +164,11 @@
             yield f"{name} is ending"
         else:
             yield f"{name} is not ready: it knows no server, no configuration or no word of the core"
+    if report.get("OutsideCoreMs"):  # nodes of earlier versions do not report it
+        yield (
+            f"{name} has a disk and has been no member of the core for {format_duration(report['OutsideCoreMs'])}: it "
+            "counts in no majority"
+        )
     counts = report["Counts"]
     if counts.get("stores_failed"):
         yield f"the disk of {name} refused {counts['stores_failed']} writes"
@@ -202,4 +207,7 @@
     voters = sum(row["State"] == MemberCondition.VOTER for row in core["Members"])
     if core["FullMs"] is None:
         problems.append(f"the core is not at full strength: {voters} of {core['Wanted']} members that are wanted vote")
+    if core.get("BelowTargetMs"):  # leaders of earlier versions do not report it
+        below_for = format_duration(core["BelowTargetMs"])
+        problems.append(f"the core has been below its target of {core['Wanted']} members for {below_for}")
     return problems
--- a/tests/node/test_newcomers.py
+++ b/tests/node/test_newcomers.py
@@ -4,7 +4,14 @@
 machines with empty disks that were ready and never became members, because no seed of theirs had a member of the core.
 """
 
-from rampfront.simulation.fleet import Machine
+import json
+
+from rampfront.node import log_events
+from rampfront.node.leadership import LOG_AFTER_NS
+from rampfront.node.log_events import LogEvent
+from rampfront.node.metrics_page import gauges
+from rampfront.node.status_views import StatusViews
+from rampfront.simulation.fleet import ApiCall, Machine
 from rampfront.simulation.isolation import OK, IsolationRun
 
 SEC = 10**9
@@ -141,3 +148,25 @@
     run.go(3 * JOIN_WITHIN)
     for machine in (first, second):
         assert machine.core_member.entry is None and not machine.core_member.is_leader
+
+
+def test_a_core_below_its_target_and_a_newcomer_outside_it_are_shown_with_their_time() -> None:
+    """Until this, a core that waited for a successor in vain looked like any other."""
+    run = NewcomerRun()
+    newcomer = run.replace([])
+    newcomer.disk.hangs = True
+    leader = run.leader()
+    logged: list[LogEvent] = []
+    for machine in (leader, newcomer):
+        machine.node_process.context.log.record_limited = lambda event, party, **fields: logged.append(event)
+    run.go(LOG_AFTER_NS + 2 * SEC)
+    assert {log_events.CORE_BELOW_TARGET, log_events.OUTSIDE_CORE} <= set(logged)
+    assert dict(gauges(leader.node_process))["core_below_target_seconds"] > 5
+    assert dict(gauges(newcomer.node_process))["core_outside_seconds"] > 5
+    assert dict(gauges(leader.node_process))["core_outside_seconds"] == 0
+    views = [json.loads(StatusViews(machine.node_process).state(ApiCall({})).body) for machine in (leader, newcomer)]
+    assert views[0]["Core"]["BelowTargetMs"] > 5000 and views[1]["OutsideCoreMs"] > 5000
+    newcomer.disk.hangs = False
+    run.check_core()
+    assert dict(gauges(leader.node_process))["core_below_target_seconds"] == 0
+    assert dict(gauges(newcomer.node_process))["core_outside_seconds"] == 0
--- a/tests/node/test_status_views.py
+++ b/tests/node/test_status_views.py
@@ -44,6 +44,7 @@
     process_settings = SimpleNamespace(name="n1", ip="127.0.0.1", zone="z1", zones=ZONES, control=("127.0.0.1", 1))
     node_process = SimpleNamespace(
         core=SimpleNamespace(step_down_if_overdue=lambda now: None, strength=lambda now: None, has_member=False),
+        leadership=SimpleNamespace(outside_core_for=lambda now: None),
         lease=SimpleNamespace(
             leader_silent_for=lambda now: None,
             age=lambda now: None,
--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -54,7 +54,7 @@
     def __init__(self):
         self.is_leader, self.quorum_confirmed_at, self.leader_ip = True, None, OWN_IP
         self.orders, self.committed, self.effects = [], committed_state(), []
-        self.node_ips = []
+        self.node_ips, self.is_member = [], True
 
     def is_leadership_expired(self, now):
         return False
@@ -65,6 +65,9 @@
     def learn_contacts(self, ips):
         pass
 
+    def core_strength(self, now):
+        return None
+
     def take(self, now, event):
         if type(event) is events.Order:
             self.orders.append(event)
--- a/tests/operator_cli/test_status_command.py
+++ b/tests/operator_cli/test_status_command.py
@@ -58,6 +58,12 @@
     status = system_status.assess(reports, reports[0])
     assert "n2 (127.0.0.2) of the core is silent" in status["Amiss"]
     assert "the core is not at full strength: 1 of 2 members that are wanted vote" in status["Amiss"]
+    core.update(BelowTargetMs=7000)
+    reports[1]["OutsideCoreMs"] = 8000
+    status = system_status.assess(reports, reports[0])
+    assert any(line.startswith("the core has been below its target of 2 members for 7") for line in status["Amiss"])
+    assert any(line.startswith("n2 has a disk and has been no member of the core for 8") for line in status["Amiss"])
+    del reports[1]["OutsideCoreMs"], core["BelowTargetMs"]
     core.update(FullMs=9000, Members=rows[:1])
     status = system_status.assess(reports, reports[0])
     assert status["Amiss"] == [] and "(2 wanted, at full strength for 9" in status_text.format_core(status)
