--- a/rampfront/consensus/__init__.py
+++ b/rampfront/consensus/__init__.py
@@ -10,8 +10,8 @@
 - A member is identified by a name and an incarnation, which is drawn at random when its disk is empty, so that a
   machine that lost its disk cannot vote twice.
 - In a core of two members, one can continue alone if the other has lost its disk (`electorate.py`).
-- The state also records which content was confirmed under each configuration number (`version_history.py`), which
-  orders keep a zone evacuated (`evacuations.py`), and the latest orders to restore it (`restorations.py`).
+- The state also records which content was confirmed under each configuration number (`version_history.py`), and what
+  keeps a zone evacuated (`evacuations.py`).
 
 Only `record_store.py` does I/O, and no module reads a clock: `Member.take(now, event)` returns effects, which `node/`
 and the simulation carry out. `docs/system/survival.md` states the guarantees and how they are checked.
@@ -25,7 +25,7 @@
 4. Leader election: `election.py`, `electorate.py`, `leader_discovery.py`.
 5. Follower: `entry_receiver.py`, with `body_history.py`.
 6. Leader: `leader.py` and its components `heartbeat_rounds.py`, `replication.py` (with `replica_progress.py`),
-   `order_queue.py`, `order_application.py`, `zone_order_application.py` (with `restorations.py`, `repeat_window.py`,
-   `late_orders.py`, `zone_order_history.py`), `membership_change.py`, `leadership_transfer.py`, `core_strength.py`.
+   `order_queue.py`, `order_application.py`, `zone_order_application.py` (with `late_orders.py`),
+   `membership_change.py`, `leadership_transfer.py`, `core_strength.py`.
 7. Wire format: `wire_names.py`, `frame_decoder.py`, `frame_encoder.py`.
 """
--- a/rampfront/consensus/context.py
+++ b/rampfront/consensus/context.py
@@ -11,8 +11,8 @@
 from .events import Effect, OrderEnded, Outcome, SendMessage
 from .frame_encoder import encode
 from .identifiers import DurationNs, TimeNs
+from .late_orders import DEFAULT_REPEAT_NS
 from .messages import Message
-from .repeat_window import DEFAULT_REPEAT_NS
 from .state import State
 
 
--- a/rampfront/consensus/entry_receiver.py
+++ b/rampfront/consensus/entry_receiver.py
@@ -26,7 +26,7 @@
         return None
     if state.term != message.term:
         raise RemoteProtocolError("entry has a different term than its message")
-    return state.with_claims(message.claims).with_restorations(message.restorations).with_versions(versions)
+    return state.with_names(message.claims).with_versions(versions)
 
 
 def _received_versions(known: list[State], message: AppendEntry) -> VersionHistory | None:
--- a/rampfront/consensus/events.py
+++ b/rampfront/consensus/events.py
@@ -18,10 +18,8 @@
     CONFIGURE = "config"  # commit a new configuration
     EVACUATE = "empty"  # evacuate a zone
     RESTORE = "fill"  # restore an evacuated zone
-    END_CLAIM = "free"  # end one claim on an evacuated zone, by its identity
+    END_HOLD = "free"  # end one named hold on an evacuated zone
     READ = "read"  # read the committed state
-    ANSWER_DELIVERED = "got"  # report that the caller of a zone order has read the answer
-    ANSWER_LOST = "lost"  # report that the caller of a zone order never read the answer
 
 
 class Outcome(StrEnum):
@@ -30,9 +28,11 @@
     DONE = "done"  # committed (or read)
     NOT_LEADER = "away"  # not accepted, because this member is not the leader
     REJECTED = "refused"  # not accepted; it will never be committed
-    NEEDS_REPEAT = "again"  # not accepted, as it may be a late copy of an earlier order; accepted if given once more
+    NEEDS_REPEAT = "again"  # not accepted, as it may have been sent before a later order; accepted if given once more
     UNKNOWN = "doubt"  # may already be committed, or may be committed later
-    CONFLICT = "conflict"  # other content was confirmed under this configuration number; it will never be committed
+    # Other content was confirmed under this configuration number, and this one will never be committed; or a zone was
+    # restored that others keep evacuated by named holds.
+    CONFLICT = "conflict"
 
 
 @slotted
@@ -60,9 +60,9 @@
 class Order:
     """An operator's order. `ref` is opaque to the core and is returned in `OrderEnded`.
 
-    `body`: (revision, compressed bytes) for a configuration, the zone's name, (zone, identity of the order) to end a
-    claim and for a delivery report, or None for a read; not validated. `identity`: of a zone order, by which delivery
-    reports refer to it; 0 if an older node sent the order.
+    `body`: (revision, compressed bytes) for a configuration, the zone's name, (zone, identity of the hold) to end a
+    named hold, or None for a read; not validated. `identity`: of the order on a zone, by which a repeat of it is told
+    from a second frame of it; 0 if an older node sent the order.
     """
 
     ref: object
--- a/rampfront/consensus/frame_decoder.py
+++ b/rampfront/consensus/frame_decoder.py
@@ -147,7 +147,6 @@
         frame[wire.ENTRY],
         frame.get(wire.VERSIONS),
         frame.get(wire.CLAIMS),
-        frame.get(wire.RESTORATIONS),
     )
 
 
@@ -221,7 +220,6 @@
     wire.SENDER_NAME: _is_name,
     wire.VERSIONS: _is_list,
     wire.CLAIMS: _is_list,
-    wire.RESTORATIONS: _is_list,
 }
 
 
--- a/rampfront/consensus/frame_encoder.py
+++ b/rampfront/consensus/frame_encoder.py
@@ -118,8 +118,6 @@
         frame[wire.VERSIONS] = message.versions
     if message.claims is not None:
         frame[wire.CLAIMS] = message.claims
-    if message.restorations is not None:
-        frame[wire.RESTORATIONS] = message.restorations
     return frame
 
 
--- a/rampfront/consensus/late_orders.py
+++ b/rampfront/consensus/late_orders.py
@@ -1,29 +1,40 @@
-"""Detects orders on a zone that may be late copies: attempts that their callers gave up and repeated elsewhere.
+"""Detects orders on a zone that may be late: attempts whose callers gave them up, carried out after later orders.
 
 Nodes do not carry out an order whose caller is known to be gone, and give the leader a deadline. What is late on the
-way from the caller to the node looks like a new order nevertheless. If an operator restores a zone, another one
-evacuates it, and then a copy of the restoration arrives, it would reopen the zone for both. A copy of an evacuation
-would count as one more operator, who never restores the zone.
-
-A copy has a pattern: an order of the same kind on its zone was accepted in the last minute, whatever happened since.
-If such an order would change who keeps the zone evacuated, it is carried out only if it is given once more: a caller
-who waits repeats an order that was not carried out, and one who has gone does not. So neither is a late copy carried
-out, nor is the order of an operator who waits ignored. An order that its caller named is exempt while the names of the
-similar orders are known and differ, since its own shows whether it is a repeat. A restoration with the same name
-changes nothing; an evacuation with the same name is in force, or was ended: then its caller must not be told that it
-is. An order without an identity, which an older node sent, is exempt, too.
-
-The mechanism is specific to this project. No I/O, no clock: times are ns of the member's monotonic clock.
+way from the caller to the node looks like a new order nevertheless. It does harm only if it undoes an order of the
+other kind that was acknowledged after it was sent: a late restoration would open a zone that was evacuated meanwhile,
+and a late evacuation would evacuate one that was restored.
+
+So an order that would change its zone within `LATE_WINDOW_NS` of an order of the other kind is carried out only if it
+is given once more: a caller who waits repeats an order that was not carried out, and one who has gone does not. Whether
+the order of the other kind changed the zone doesn't matter, since its caller was told that the zone is as it wants it.
+A leader doesn't know what its predecessors accepted, so for that time after its election it demands this of every order
+that would change a zone, unless it is the first leader of a new core. An order without an identity, which an older node
+sent, is exempt.
+
+The mechanism is specific to this project. No I/O, no clock: times are ns of the leader's monotonic clock.
 """
 
 from typing import NamedTuple
 
-from .evacuation_claims import is_explicit
+from .evacuations import MAX_ZONES, is_explicit
 from .events import OrderKind
 from .identifiers import SEC, DurationNs, TimeNs
-from .zone_order_history import MAX_ZONES, ZONE_ORDER_KINDS, ZoneOrder, ZoneOrderHistory, set_newest
 
-COPY_WINDOW_NS = 60 * SEC  # from an order to the last copy of it; what relays requests ends them by then
+LATE_WINDOW_NS = 60 * SEC  # from the sending of an order to its latest arrival; what relays requests ends them by then
+DEFAULT_REPEAT_NS = 6 * SEC  # how long callers retry an order, unless the settings say otherwise
+IN_FLIGHT_NS = SEC  # how long an order may be in transit to the leader
+
+
+class ZoneOrder(NamedTuple):
+    """An order to evacuate or restore a zone, or to end a named hold on it.
+
+    `identity`: of the order, 0 if it is not known; of the hold that is to end.
+    """
+
+    kind: OrderKind
+    zone: str
+    identity: int
 
 
 class Demand(NamedTuple):
@@ -42,59 +53,49 @@
 
 
 class LateOrderDetector:
-    """Decides at one leader which orders must be repeated, by what it knows of earlier ones."""
-
-    def __init__(self, history: ZoneOrderHistory, repeats_within: DurationNs) -> None:
-        """`history`: of this leader alone; `repeats_within`: how long after an order its caller may repeat it."""
-        self._history = history
-        self._repeats_within = repeats_within
+    """Decides at one leader which orders must be repeated, by what it has accepted."""
+
+    def __init__(self, known_since: TimeNs, repeats_within: DurationNs) -> None:
+        """`known_since`: since when the leader knows all accepted orders; `repeats_within`: how long callers retry."""
+        self._known_since = known_since
+        self._repeat_window = repeats_within + IN_FLIGHT_NS
+        self._evacuated_at: dict[str, TimeNs] = {}  # when an order to evacuate each zone was last accepted
+        self._restored_at: dict[str, TimeNs] = {}  # when one to restore it was, or to end a hold
         self._deferred: dict[Demand, Deferral] = {}
 
-    def is_known_repeat(self, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether an order with this identity was accepted recently."""
-        accepted_at = self._history.accepted_at(order)
-        return accepted_at is not None and now - accepted_at <= COPY_WINDOW_NS
-
-    def may_be_late_copy(self, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether a similar order was accepted so recently that this one may be a copy of it."""
-        if not order.identity:
-            return False
-        previous = self._history.last_similar(order)
-        return previous is not None and now - previous <= COPY_WINDOW_NS
-
     def must_be_repeated(self, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether an order that may be a late copy, and would have an effect, is carried out only if given again."""
-        deferral = self._deferral(order, now)
-        if deferral is None:
-            row = Deferral(order.identity, now)
-            set_newest(self._deferred, _demand(order), row, len(ZONE_ORDER_KINDS) * MAX_ZONES)
+        """Whether an order that would change its zone is carried out only if it is given again."""
+        if not self._may_be_late(order, now):
+            return False
+        demand = _demand(order)
+        deferral = self._deferred.get(demand)
+        if deferral is None or now - deferral.at > self._repeat_window:
+            if len(self._deferred) >= MAX_ZONES:
+                del self._deferred[next(iter(self._deferred))]
+            self._deferred[demand] = Deferral(order.identity, now)
             return True
         # Each attempt has an identity of its own, unless the caller supplied it: then the submitting node's request
         # number tells the attempts apart (`node/order_table.py`).
         return deferral.identity == order.identity and not is_explicit(order.identity)
 
-    def _deferral(self, order: ZoneOrder, now: TimeNs) -> Deferral | None:
-        """Returns the attempt that this one may repeat."""
-        deferral = self._deferred.get(_demand(order))
-        return None if deferral is None or now - deferral.at > self._repeats_within else deferral
-
-    def first_attempt_at(self, order: ZoneOrder, now: TimeNs) -> TimeNs:
-        """Returns when the attempt arrived that this one repeats, or `now` if it is the first one.
+    def note_accepted(self, order: ZoneOrder, now: TimeNs) -> None:
+        """Records an order that was accepted, whether it changed the zone or not.
 
-        What an order counts as depends on when its caller first gave it: the demand for a repeat must not change that.
+        It ends all demands on the zone: the attempts that they deferred were sent before it was acknowledged.
         """
-        deferral = self._deferral(order, now)
-        return now if deferral is None else deferral.at
-
-    def note_delivered(self, order: ZoneOrder, now: TimeNs) -> None:
-        """Records that the answer to a restoration was delivered."""
-        self._history.note_delivered(order, now)
-
-    def note_accepted(self, order: ZoneOrder, now: TimeNs) -> None:
-        """Records an order that was accepted, whether it changed the zone or not."""
         for demand in [demand for demand in self._deferred if demand.zone == order.zone]:
             del self._deferred[demand]
-        self._history.note(order, now)
+        table = self._evacuated_at if order.kind is OrderKind.EVACUATE else self._restored_at
+        if order.zone not in table and len(table) >= MAX_ZONES:
+            table.clear()
+            self._known_since = now
+        table[order.zone] = now
+
+    def _may_be_late(self, order: ZoneOrder, now: TimeNs) -> bool:
+        """Whether an order of the other kind may have been acknowledged since this one was sent."""
+        opposite = self._restored_at if order.kind is OrderKind.EVACUATE else self._evacuated_at
+        accepted_at = max(self._known_since, opposite.get(order.zone, self._known_since))
+        return bool(order.identity) and now - accepted_at <= LATE_WINDOW_NS
 
 
 def _demand(order: ZoneOrder) -> Demand:
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -26,19 +26,17 @@
 from .events import Order, OrderKind, Outcome
 from .heartbeat_rounds import HeartbeatRounds
 from .identifiers import SEC, MemberKey, TimeNs
-from .late_orders import LateOrderDetector
+from .late_orders import LATE_WINDOW_NS, LateOrderDetector
 from .leader_discovery import LeaderDiscovery
 from .leadership_transfer import LeadershipTransfer, most_up_to_date
 from .membership_change import MembershipChange, MembershipView, Step
 from .messages import AppendAcknowledged, JoinRequest, LeadershipEnded
 from .order_application import OrderApplication, PendingOrder, pending_order
 from .order_queue import OrderQueue
-from .persistent_state import PersistentState
-from .repeat_window import RepeatWindow, retry_window
+from .persistent_state import FOUNDING_TERM, PersistentState
 from .replication import Replication
 from .state import State, StateChanges
 from .zone_order_application import ZoneOrderApplication
-from .zone_order_history import ZoneOrderHistory
 
 BOOTSTRAP_WAIT_NS = 5 * SEC  # how long an empty core waits for more members before it accepts orders
 
@@ -68,20 +66,16 @@
         self.membership = MembershipChange(self._own, self._term, survive)
         self.replication = Replication(context, persistent, self.rounds, self.membership)
         self.strength_monitor = StrengthMonitor(self.membership, self.replication, survive)
-        repeats_within = context.settings.order_repeat_ns
-        zone_orders = self._known_zone_orders()
-        repeat_window = RepeatWindow(zone_orders, context.now, repeats_within)
         self._orders = OrderQueue(context, persistent)
-        detector = LateOrderDetector(zone_orders, retry_window(repeats_within))
-        self._application = OrderApplication(ZoneOrderApplication(repeat_window, detector))
+        late_orders = LateOrderDetector(self._known_since(), context.settings.order_repeat_ns)
+        self._application = OrderApplication(ZoneOrderApplication(late_orders))
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
 
-    def _known_zone_orders(self) -> ZoneOrderHistory:
-        """Returns the orders of earlier leaders, with those of the existing entry, which is not committed yet."""
-        history = self.persistent.zone_orders.copy()
-        history.observe(self.persistent.committed, self._entry(), self.context.now)
-        return history
+    def _known_since(self) -> TimeNs:
+        """Returns since when this leader knows all accepted orders: the first one of a new core always did."""
+        is_first = self._entry().term == FOUNDING_TERM
+        return self._began_at - LATE_WINDOW_NS - 1 if is_first else self._began_at
 
     # Status.
 
@@ -289,7 +283,7 @@
         if self._is_entry_committed() or not self.replication.commit_index:
             return False
         entry = self._entry()
-        return self._application.apply(entry, order, self.context.now) is entry
+        return self._application.apply(entry, order) is entry
 
     def _await_round(self, orders: list[PendingOrder], index: int) -> None:
         """Answers orders that change nothing once a round that begins after them is confirmed.
@@ -314,7 +308,6 @@
                 body=state.body,
                 evacuated_zones=state.evacuated_zones,
                 evacuations=state.evacuations,
-                restorations=state.restorations,
                 versions=state.versions,
             )
         if batch.unchanged:
--- a/rampfront/consensus/messages.py
+++ b/rampfront/consensus/messages.py
@@ -108,8 +108,7 @@
     commit_index: LogIndex
     entry: list[object]  # an encoded `State`, with its body, with a delta instead of the body, or without either
     versions: list[object] | None = None  # an encoded `VersionDelta`; None from an older leader
-    claims: list[object] | None = None  # encoded claims on evacuated zones; None if none, or from an older leader
-    restorations: list[object] | None = None  # encoded restorations of zones; None if none, or from an older leader
+    claims: list[object] | None = None  # encoded named holds on evacuated zones; None if there are none
 
 
 class AppendAcknowledged(NamedTuple):
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -13,13 +13,14 @@
 
 from rampfront.terms import slotted
 
-from .evacuation_claims import IDENTITY_LIMIT
+from . import zone_order_application as zone_orders
+from .evacuations import IDENTITY_LIMIT
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
+from .late_orders import ZoneOrder
 from .state import MAX_BODY_BYTES, MAX_NAMES, MAX_NUMBER, MAX_ZONE_CHARS, State
 from .version_history import content_digest
-from .zone_order_application import ClaimEnd, DeliveryReport, ZoneInput, ZoneOrderApplication
-from .zone_order_history import ZoneOrder
+from .zone_order_application import ZoneOrderApplication
 
 MAX_EVACUATED_ZONES = MAX_NAMES // 2
 
@@ -32,14 +33,14 @@
     content: bytes  # digest of the content
 
 
-Change: TypeAlias = Configuration | ZoneInput | None
+Change: TypeAlias = Configuration | ZoneOrder | None
 
 
 @slotted
 class PendingOrder:
     """An order that the leader has not answered yet.
 
-    `change`: the validated order or report, or None for a read. `entry_index`: index of the entry that must be
+    `change`: the validated order, or None for a read. `entry_index`: index of the entry that must be
     committed first, or 0. `round`: heartbeat round that must be confirmed first, or 0. `outcome`: the answer to send
     then.
     """
@@ -91,13 +92,9 @@
             return PendingOrder(order.ref, OrderKind.CONFIGURE, configuration, now) if configuration else None
         case OrderKind.EVACUATE | OrderKind.RESTORE:
             return _zone_order(order, entry, now)
-        case OrderKind.ANSWER_DELIVERED | OrderKind.ANSWER_LOST:
-            named, is_delivered = _claim(body), order.kind == OrderKind.ANSWER_DELIVERED
-            report = DeliveryReport(*named, is_delivered) if named else None
-            return PendingOrder(order.ref, OrderKind(order.kind), report, now) if report else None
-        case OrderKind.END_CLAIM:
-            named = _claim(body)
-            return PendingOrder(order.ref, OrderKind.END_CLAIM, named, now) if named else None
+        case OrderKind.END_HOLD:
+            ending = _hold_end(body)
+            return PendingOrder(order.ref, OrderKind.END_HOLD, ending, now) if ending else None
         case OrderKind.READ:
             return PendingOrder(order.ref, OrderKind.READ, None, now)
         case _:
@@ -105,7 +102,7 @@
 
 
 def _zone_order(order: Order, entry: State, now: TimeNs) -> PendingOrder | None:
-    """Validates a zone order; returns None if the name is invalid or there would be too many zones or claims."""
+    """Validates a zone order; returns None if the name is invalid or there would be too many zones or holds."""
     zone, kind = order.body, OrderKind(order.kind)
     if type(zone) is not str or not 0 < len(zone) <= MAX_ZONE_CHARS:
         return None
@@ -116,11 +113,10 @@
 
 
 def _has_room(entry: State, zone: str, identity: int) -> bool:
-    """Whether an order to evacuate a zone can be counted: a 200 without a claim would promise nothing."""
+    """Whether an order to evacuate a zone can be in force."""
     if zone not in entry.evacuated_zones:
         return len(entry.evacuated_zones) < MAX_EVACUATED_ZONES
-    evacuation = entry.evacuation_of(zone)
-    return not evacuation.is_full() or evacuation.has_claim(identity) or evacuation.has_lost_claim()
+    return entry.evacuation_of(zone).has_room(identity)
 
 
 def _configuration(body: object) -> Configuration | None:
@@ -137,11 +133,11 @@
     return identity if type(identity) is int and 0 < identity < IDENTITY_LIMIT else 0
 
 
-def _claim(body: object) -> ClaimEnd | None:
-    """Returns the validated body of an order or a report that names a claim, or None if it is invalid."""
+def _hold_end(body: object) -> ZoneOrder | None:
+    """Returns the order that ends a named hold, or None if its body is invalid."""
     match body:
         case [str() as zone, identity] if 0 < len(zone) <= MAX_ZONE_CHARS and _identity(identity):
-            return ClaimEnd(zone, _identity(identity))
+            return ZoneOrder(OrderKind.END_HOLD, zone, _identity(identity))
     return None
 
 
@@ -157,20 +153,19 @@
         change = order.change
         if isinstance(change, Configuration) and state.versions.conflicts_with(change.revision, change.content):
             return Outcome.CONFLICT
-        return Outcome.DONE
+        return zone_orders.outcome(state, change) if isinstance(change, ZoneOrder) else Outcome.DONE
 
-    def apply(self, state: State, order: PendingOrder, now: TimeNs) -> State:
+    def apply(self, state: State, order: PendingOrder) -> State:
         """Returns the state after an order; the same object if the order changes nothing."""
         change = order.change
         if isinstance(change, Configuration):
             return _with_configuration(state, change)
-        return state if change is None else self._zone_orders.apply(state, change, now)
+        return state if change is None else zone_orders.applied(state, change)
 
     def note(self, order: PendingOrder, now: TimeNs) -> None:
-        """Records an accepted order, for the detection of retries."""
-        change = order.change
-        if change is not None and not isinstance(change, Configuration):
-            self._zone_orders.note(change, now)
+        """Records an accepted order, for the detection of late ones."""
+        if isinstance(order.change, ZoneOrder):
+            self._zone_orders.note(order.change, now)
 
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
@@ -182,14 +177,14 @@
             # If a later order of the same entry undid an earlier one, the earlier one would be acknowledged although
             # its result was never committed. Orders of the other kind on a zone therefore wait for the next entry.
             change = order.change
-            if isinstance(change, ZoneOrder | ClaimEnd) and kinds.setdefault(change.zone, order.kind) != order.kind:
+            if isinstance(change, ZoneOrder) and kinds.setdefault(change.zone, order.kind) != order.kind:
                 break
             if isinstance(change, ZoneOrder) and self._zone_orders.must_be_repeated(state, change, now):
                 order.set_outcome(Outcome.NEEDS_REPEAT)
                 unchanged.append(order)
                 continue
             order.set_outcome(self.outcome(state, order))
-            after = self.apply(state, order, now)
+            after = self.apply(state, order)
             self.note(order, now)
             (unchanged if after is entry else carried).append(order)
             state = after
--- a/rampfront/consensus/persistent_state.py
+++ b/rampfront/consensus/persistent_state.py
@@ -19,9 +19,9 @@
 from .identifiers import MS, Incarnation, MemberAddress, MemberKey, Term, TimeNs
 from .record import MAX_NODE_IPS, Record, decode_record, encode_record
 from .state import State, digest
-from .zone_order_history import ZoneOrderHistory
 
 RETRY_NS = 200 * MS  # delay before a failed store is retried
+FOUNDING_TERM: Term = 1  # of the entry that founds a core; no leader has this term
 
 
 class DurableVersion(NamedTuple):
@@ -50,9 +50,6 @@
         self.member_ips: list[str] = []  # member addresses received in a hint; used while this is not a member
         self.node_ips: list[str] = []  # addresses of all recently known nodes, current ones first
         self.bodies = BodyHistory()  # possible bases of deltas
-        is_system_start = record is None and context.settings.is_first_start
-        # Orders on zones in the committed states; kept in memory alone, since its times are of this process.
-        self.zone_orders = ZoneOrderHistory(None if is_system_start else context.now)
         self.version = 0
         self.durable = DurableVersion(0, 0, None)
         self.in_flight: DurableVersion | None = None
@@ -64,7 +61,6 @@
             self._start_empty()
         if self.entry is not None:
             self.bodies.add(self.entry)
-            self.zone_orders.note_deliveries(self.entry, context.now)
 
     # Identity.
 
@@ -127,7 +123,6 @@
     def commit(self, entry: State) -> None:
         """Records that an entry is committed; does nothing if a newer one is already known to be."""
         if self.committed is None or entry.index > self.committed.index:
-            self.zone_orders.observe(self.committed, entry, self._context.now)
             self.committed = entry
             self._context.emit(StateCommitted(entry))
 
@@ -203,5 +198,5 @@
         self.version = 1
         if settings.is_first_start and settings.seeds and settings.seeds[0] == settings.ip:
             members = {settings.name: MemberAddress(settings.ip, self.incarnation)}
-            self.entry = State(1, 1, members=members, body_digest=digest(b""), target_size=1)
-            self.term = 1
+            self.entry = State(1, FOUNDING_TERM, members=members, body_digest=digest(b""), target_size=1)
+            self.term = FOUNDING_TERM
--- a/rampfront/consensus/record.py
+++ b/rampfront/consensus/record.py
@@ -1,7 +1,7 @@
 """The format of a member's record on disk, which holds its persistent state (Raft paper, figure 2).
 
-A record is a CBOR list of columns; older records lack the last ones. `PersistentState` encodes a record after every
-change and decodes one at startup.
+A record is a CBOR list of columns. Older records lack the last ones, or have a further one that is not used any more.
+`PersistentState` encodes a record after every change and decodes one at startup.
 """
 
 from typing import NamedTuple
@@ -9,8 +9,8 @@
 import cbor2
 
 from .errors import RecordError, RemoteProtocolError
+from .evacuations import encode_names
 from .identifiers import Incarnation, LogPosition, MemberKey, Term
-from .restorations import encode_restorations
 from .state import State, decode_state
 from .version_history import VersionHistory, decode_history
 
@@ -51,14 +51,11 @@
         entry.versions.encode() if entry else b"",
         record.owner,
     ]
-    claims = entry.encode_claims() if entry else None
-    restorations = encode_restorations(entry.restorations) if entry else None
-    if claims is not None or record.node_ips or restorations:
-        columns.append(claims)
-    if record.node_ips or restorations:
+    names = encode_names(entry.evacuations) if entry else None
+    if names is not None or record.node_ips:
+        columns.append(names)
+    if record.node_ips:
         columns.append(record.node_ips)
-    if restorations:
-        columns.append(restorations)
     return cbor2.dumps(columns)
 
 
@@ -74,7 +71,7 @@
         raise RecordError("record cannot be decoded") from None
     match columns:
         case [format_version, incarnation, term, vote, committed, row, member_ips, *optional]:
-            defaults: list[object] = [None, owner, None, [], None]  # values for the columns that older records lack
+            defaults: list[object] = [None, owner, None, []]  # values for the columns that older records lack
             last_columns = [*optional, *defaults[len(optional) :]]
         case _:
             raise RecordError("record cannot be decoded")
@@ -88,7 +85,7 @@
         term,
         MemberKey(*vote) if vote else None,
         LogPosition(*committed) if committed else None,
-        _decode_entry(row, last_columns[0], last_columns[2], last_columns[4]),
+        _decode_entry(row, last_columns[0], last_columns[2]),
         member_ips,
         owner,
         _decode_node_ips(last_columns[3]),
@@ -102,17 +99,17 @@
     return ips
 
 
-def _decode_entry(row: object, versions: object, claims: object, restorations: object) -> State | None:
+def _decode_entry(row: object, versions: object, names: object) -> State | None:
     """Decodes the stored entry. Raises RecordError.
 
-    `versions`: its encoded version history; None in an older record. `claims`, `restorations`: its encoded claims on
-    evacuated zones, and its restorations; None if there are none.
+    `versions`: its encoded version history; None in an older record. `names`: its encoded named holds on evacuated
+    zones; None if there are none.
     """
     if not row:
         return None
     try:
         entry = decode_state(row)
-        entry = None if entry is None else entry.with_claims(claims).with_restorations(restorations)
+        entry = None if entry is None else entry.with_names(names)
         history = VersionHistory() if versions is None else decode_history(versions)
     except RemoteProtocolError as error:
         raise RecordError(str(error)) from error
--- a/rampfront/consensus/replication.py
+++ b/rampfront/consensus/replication.py
@@ -16,13 +16,13 @@
 """
 
 from .context import MemberContext
+from .evacuations import encode_names
 from .heartbeat_rounds import HeartbeatRounds
 from .identifiers import NO_POSITION, LogIndex, LogPosition, MemberKey, Term, TimeNs
 from .membership_change import SILENCE_NS, MembershipChange
 from .messages import AppendAcknowledged, AppendEntry, Heartbeat
 from .persistent_state import PersistentState
 from .replica_progress import ReplicaProgress
-from .restorations import encode_restorations
 from .state import BODY_COLUMN, State
 from .version_history import VersionHistory
 
@@ -134,8 +134,7 @@
             self.commit_index,
             row,
             versions.encode(),
-            entry.encode_claims(),
-            encode_restorations(entry.restorations),
+            encode_names(entry.evacuations),
         )
         self._context.send(replica.ip, message)
 
--- a/rampfront/consensus/state.py
+++ b/rampfront/consensus/state.py
@@ -11,19 +11,16 @@
 from typing import TypedDict, Unpack
 
 from .errors import RemoteProtocolError
-from .evacuation_claims import decode_claims, encode_claims
 from .evacuations import (
     NOT_EVACUATED,
-    SINGLE_OPERATOR,
+    REGISTER_SET,
     Evacuation,
     EvacuationTable,
-    claim_table,
     decode_evacuations,
     encode_evacuations,
-    with_claims,
+    with_names,
 )
 from .identifiers import LogIndex, LogPosition, MemberAddress, MemberList, Term
-from .restorations import RestorationTable, decode_restorations
 from .version_history import VersionHistory, content_digest
 
 MAX_BODY_BYTES = 16 << 20  # size of a compressed configuration
@@ -54,7 +51,6 @@
     body_digest: bytes
     evacuations: EvacuationTable
     target_size: int
-    restorations: RestorationTable
     versions: VersionHistory
 
 
@@ -75,9 +71,8 @@
     members: MemberList = field(default_factory=dict)
     previous_members: MemberList | None = None
     body_digest: bytes = b""
-    evacuations: EvacuationTable = field(default_factory=dict)  # operators that keep zones evacuated
+    evacuations: EvacuationTable = field(default_factory=dict)  # what keeps zones evacuated
     target_size: int = 0  # number of members admitted at the initial start; 0 in an older record
-    restorations: RestorationTable = field(default_factory=dict)  # by zone; encoded separately, for members only
     versions: VersionHistory = VersionHistory()  # confirmed configuration numbers; encoded separately, for members only
 
     @property
@@ -86,10 +81,10 @@
         return LogPosition(self.term, self.index)
 
     def evacuation_of(self, zone: str) -> Evacuation:
-        """Returns the evacuation of a zone; one without operators and claims if the zone is not evacuated."""
+        """Returns the evacuation of a zone; one without holds if the zone is not evacuated."""
         if zone not in self.evacuated_zones:
             return NOT_EVACUATED
-        return self.evacuations.get(zone, SINGLE_OPERATOR)
+        return self.evacuations.get(zone, REGISTER_SET)
 
     def next_entry(self, **changes: Unpack[StateChanges]) -> "State":
         """Returns the entry that follows this one, with the given changes."""
@@ -103,27 +98,14 @@
             versions = versions.with_version(self.revision, content_digest(self.body))
         return replace(self, versions=versions)
 
-    def with_claims(self, rows: object) -> "State":
-        """Returns the same entry with claims on evacuated zones, given in the form of `encode_claims`.
+    def with_names(self, rows: object) -> "State":
+        """Returns the same entry with named holds on evacuated zones, given in the form of `encode_names`.
 
-        Raises RemoteProtocolError for malformed claims.
+        Raises RemoteProtocolError for malformed ones.
         """
         if rows is None:
             return self
-        table = with_claims(self.evacuated_zones, self.evacuations, decode_claims(rows))
-        return replace(self, evacuations=table)
-
-    def encode_claims(self) -> list[object] | None:
-        """Encodes the claims separately from the state, since only members need them; None if there are none."""
-        table = claim_table(self.evacuations)
-        return [*encode_claims(table)] if table else None
-
-    def with_restorations(self, rows: object) -> "State":
-        """Returns the same entry with restorations, given in the form of `encode_restorations`.
-
-        Raises RemoteProtocolError for malformed ones.
-        """
-        return self if rows is None else replace(self, restorations=decode_restorations(rows))
+        return replace(self, evacuations=with_names(self.evacuated_zones, self.evacuations, rows))
 
     def all_members(self) -> MemberList:
         """Returns all members with votes, of both lists; an address in `members` takes precedence."""
--- a/rampfront/consensus/wire_names.py
+++ b/rampfront/consensus/wire_names.py
@@ -23,7 +23,6 @@
 JOIN_TOKEN = "x"  # in a JoinRequest or a LeaderHint
 VERSIONS = "v"
 CLAIMS = "w"
-RESTORATIONS = "u"
 LEADER_IP = "l"
 MEMBER_IPS = "m"
 IS_EXCLUDED = "o"
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -12,16 +12,16 @@
 
 from result import Err
 
-from ..consensus.evacuation_claims import EXPLICIT_IDENTITY
+from ..consensus.evacuations import EXPLICIT_IDENTITY
 from ..consensus.events import OrderKind, Outcome
 from ..consensus.state import MAX_BODY_BYTES
 from ..consensus.version_history import content_digest
-from ..net.http_messages import Delivery, error_response, json_response
+from ..net.http_messages import error_response, json_response
 from ..net.http_routing import endpoint
 from ..net.memory_account import MemoryAccount, MemoryShortError
 from ..settings import configuration_reader
 from ..settings.json_cost import decoded_bytes
-from .evacuation_view import MAY_BE_REPEAT, evacuation_view, order_view, parse_hold
+from .evacuation_view import evacuation_view, hold_name, parse_hold, still_held_message
 from .order_messages import GIVEN_UP
 
 if TYPE_CHECKING:
@@ -29,7 +29,6 @@
 
     from ..consensus.state import State
     from ..net.http_messages import IncomingRequest, Response
-    from .answer_reports import AnswerReports
     from .order_submitter import OrderSubmitter
 
 MAX_REQUEST_BYTES = 32 << 20
@@ -45,7 +44,7 @@
 )
 NEEDS_REPEAT = error_response(
     503,
-    "not carried out: may be a late copy of an earlier order on the zone; send it again",
+    "not carried out: may have been sent before a later order on the zone was acknowledged; send it again",
     ((b"Retry-After", b"0.3"),),
 )
 # By outcomes after which an order on a zone never takes effect.
@@ -55,13 +54,9 @@
 class ControlCalls:
     """The operators' calls that become orders."""
 
-    def __init__(
-        self, orders: OrderSubmitter, reports: AnswerReports, zones: Mapping[str, str], memory: MemoryAccount
-    ) -> None:
-        """`reports` tells the core which answers were delivered; `zones`: the region of each zone of the settings;
-        `memory`: the node's account, whose counters are used."""
+    def __init__(self, orders: OrderSubmitter, zones: Mapping[str, str], memory: MemoryAccount) -> None:
+        """`zones`: the region of each zone of the settings; `memory`: the node's account, whose counters are used."""
         self._orders = orders
-        self._reports = reports
         self._zones = zones
         self._memory = memory
         self.counts = memory.counts
@@ -134,17 +129,17 @@
 
     @endpoint("POST", "/api/rpc", operation="empty.start")
     def start_evacuation(self, request: IncomingRequest) -> Response | None:
-        """Take a zone's servers out of use."""
+        """Take a zone's servers out of use. With an idempotency key, the order is a hold of its own, of that key."""
         return self._change_zone(request, OrderKind.EVACUATE)
 
     @endpoint("POST", "/api/rpc", operation="empty.finish")
     def finish_evacuation(self, request: IncomingRequest) -> Response | None:
-        """Take a zone's servers back into use, once nobody else holds the zone.
+        """Take a zone's servers back into use, whoever has evacuated it; 409 if holds of other keys are left.
 
-        With `hold` in the query, the hold of that name is ended, whoever has it.
+        With `hold` in the query, the hold of that name alone is ended, whoever has it.
         """
         hold = request.query.get("hold")
-        return self._change_zone(request, OrderKind.RESTORE) if hold is None else self._end_claim(request, hold)
+        return self._change_zone(request, OrderKind.RESTORE) if hold is None else self._end_hold(request, hold)
 
     def _zone(self, request: IncomingRequest) -> str | Response:
         """Return the zone in the query, or the answer to a request without a known one."""
@@ -155,8 +150,8 @@
             return json_response({"Message": f"of: {zone[:MAX_SHOWN_ZONE]!r} is no zone", "Field": "of"}, 400)
         return zone
 
-    def _end_claim(self, request: IncomingRequest, hold: str) -> Response | None:
-        """End the hold of a name. A repeat of the order, or a late copy of it, changes nothing."""
+    def _end_hold(self, request: IncomingRequest, hold: str) -> Response | None:
+        """End the hold of a name. A repeat of the order changes nothing."""
         zone, identity = self._zone(request), parse_hold(hold)
         if not isinstance(zone, str):
             return zone
@@ -165,15 +160,13 @@
 
         def on_done(outcome: str | None, state: State | None) -> None:
             """Answer the caller."""
-            if outcome == Outcome.DONE and state is not None:
-                reply(request, json_response(evacuation_view(zone, state)))
-            else:
-                reply(request, NO_ANSWER)
+            is_done = outcome == Outcome.DONE and state is not None and identity not in state.evacuation_of(zone).named
+            reply(request, json_response(evacuation_view(zone, state)) if is_done and state else not_done(outcome))
 
-        self._orders.submit(OrderKind.END_CLAIM, (zone, identity), on_done)
+        self._orders.submit(OrderKind.END_HOLD, (zone, identity), on_done, caller=request)
         return None
 
-    def _change_zone(self, request: IncomingRequest, kind: str) -> Response | None:
+    def _change_zone(self, request: IncomingRequest, kind: OrderKind) -> Response | None:
         zone = self._zone(request)
         if not isinstance(zone, str):
             return zone
@@ -182,34 +175,51 @@
             message = f"Idempotency-Key: over {MAX_KEY_BYTES} bytes"
             return json_response({"Message": message, "Field": "Idempotency-Key"}, 400)
         identity = explicit_identity(key) if key else self._orders.next_identity()
-        sent_at = self._orders.clock() - request.timing().max_age_ns
-
-        def on_delivery(delivery: Delivery) -> None:
-            """Report to the core whether the caller read the acknowledgement.
-
-            For an order with an idempotency key a lost answer is not reported: its key identifies a repeat.
-            """
-            if not key or delivery is not Delivery.LOST:
-                self._reports.report(zone, identity, delivery, sent_at)
 
         def on_done(outcome: str | None, state: State | None) -> None:
-            """Answer the caller. One that has left gets no 200, so that the answer is certainly lost."""
-            if outcome == Outcome.DONE and state is not None and request.is_awaited():
-                view = order_view(zone, state, kind, identity)
-                self.counts["restorations_pending"] += view.get("Message") == MAY_BE_REPEAT
-                answer = json_response(view)
-                request.respond(answer.status, answer.body, answer.headers, on_delivery=on_delivery)
+            """Answer the caller."""
+            # The caller opens a connection for the next attempt: its age bounds that of the order.
+            request.closes_connection = outcome == GIVEN_UP
+            if outcome not in (Outcome.DONE, Outcome.CONFLICT) or state is None:
+                reply(request, not_done(outcome))
+            elif kind is OrderKind.EVACUATE:
+                reply(request, evacuated_answer(zone, state, identity))
             else:
-                # The caller opens a connection for the next attempt: its age bounds that of the order.
-                request.closes_connection = outcome == GIVEN_UP
-                reply(request, ANSWERS.get(outcome, NO_ANSWER))
-                if outcome not in ANSWERS:  # the order may be in force, but its caller got no acknowledgement
-                    on_delivery(Delivery.LOST)
+                reply(request, restored_answer(zone, state, identity))
 
         self._orders.submit(kind, zone, on_done, identity, caller=request)
         return None
 
 
+def not_done(outcome: str | None) -> Response:
+    """Return the 503 for an order on a zone that has not taken effect, as far as this node knows."""
+    return ANSWERS.get(outcome, NO_ANSWER)
+
+
+def evacuated_answer(zone: str, state: State, identity: int) -> Response:
+    """Return the answer to an order to evacuate a zone: 200 only if the committed state has the order in force."""
+    evacuation = state.evacuation_of(zone)
+    if evacuation.evacuated(identity) != evacuation:
+        return NO_ANSWER
+    named = {"Hold": hold_name(identity)} if identity in evacuation.named else {}
+    return json_response(evacuation_view(zone, state) | named)
+
+
+def restored_answer(zone: str, state: State, identity: int) -> Response:
+    """Return the answer to an order to restore a zone: 200 only if the zone is open in the committed state.
+
+    What the order could end has ended with a 409 as well; sent again, it gets the same answer. Where something is left
+    that it ends, it has not taken effect: a leader of an older version counts operators.
+    """
+    evacuation = state.evacuation_of(zone)
+    if evacuation.restored(identity) != evacuation:
+        return NO_ANSWER
+    view = evacuation_view(zone, state)
+    if evacuation.holds:
+        return json_response({"Message": still_held_message(zone, state), **view}, 409)
+    return json_response(view)
+
+
 def explicit_identity(key: bytes) -> int:
     """Return the identity of an order with an idempotency key."""
     found = blake2b(key, digest_size=IDENTITY_BYTES).digest()
--- a/rampfront/node/endpoints.py
+++ b/rampfront/node/endpoints.py
@@ -13,7 +13,6 @@
 from ..net.http_server import HttpServer
 from ..net.limits import HttpServerLimits
 from . import log_events
-from .answer_reports import AnswerReports
 from .control_calls import ControlCalls
 from .directory_call import Directory
 from .limits import call_connections
@@ -55,8 +54,7 @@
 
 def build_control_calls(node: NodeProcess) -> ControlCalls:
     """Return a node's handler of operators' orders."""
-    reports = AnswerReports(node.context, node.orders)
-    return ControlCalls(node.orders, reports, node.context.process_settings.zones, node.client_front.memory)
+    return ControlCalls(node.orders, node.context.process_settings.zones, node.client_front.memory)
 
 
 def build_directory(node: NodeProcess) -> Directory:
--- a/rampfront/node/order_messages.py
+++ b/rampfront/node/order_messages.py
@@ -15,9 +15,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Self, TypeAlias
 
-from ..consensus.evacuation_claims import IDENTITY_LIMIT
+from ..consensus.evacuations import IDENTITY_LIMIT, encode_names
 from ..consensus.events import OrderKind, Outcome
-from ..consensus.restorations import encode_restorations, pending_only
 from ..consensus.state import MAX_BODY_BYTES, MAX_ZONE_CHARS, State, decode_state
 from ..transport.frames import Message
 
@@ -28,12 +27,10 @@
 ORDER_KIND = "o"
 BODY = "b"
 IDENTITY = "i"
-REPORT = "w"
 OUTCOME = "v"
 STATE = "S"
 DEADLINE = "d"
 CLAIMS = "c"
-RESTORATIONS = "u"
 NEEDS_REPEAT = "n"
 
 REQUEST_FRAME = "order"
@@ -55,9 +52,7 @@
 )
 OUTCOMES_WITH_STATE = frozenset((Outcome.DONE, Outcome.CONFLICT))  # they are based on the committed state, and carry it
 CONFIGURATION_FIELDS = ("revision", "bytes")  # of the body of an order with a configuration
-REPORT_KINDS = (OrderKind.ANSWER_DELIVERED, OrderKind.ANSWER_LOST)
-CLAIM_FIELDS = ("zone", "identity")  # of the body of an order that ends a claim
-REPORT_FIELDS = ("kind", "zone", "identity")  # of a report on an answer, on the wire
+HOLD_FIELDS = ("zone", "identity")  # of the body of an order that ends a named hold
 INCARNATION_BITS = 32
 INCARNATION_LIMIT = 1 << INCARNATION_BITS
 LARGEST_NUMBER = 1 << 53  # JSON parsers of other languages represent smaller integers exactly
@@ -97,8 +92,9 @@
 class OrderRequest(NamedTuple):
     """An order, as it is sent to the leader of the core.
 
-    `kind`: one of `OrderKind`. `identity`: identifies an order on a zone in reports on its answer; 0 for all other
-    orders, and from nodes of older versions. `deadline`: after which the order is not carried out; None if it has none.
+    `kind`: one of `OrderKind`. `identity`: tells a repeat of an order on a zone from a second frame of it; 0 for all
+    other orders, and from nodes of older versions. `deadline`: after which the order is not carried out; None if it has
+    none.
     """
 
     incarnation: int
@@ -117,11 +113,7 @@
         return None
 
     def encode(self) -> Message:
-        """Return the frame for the transport.
-
-        A report is encoded as a read with an additional key: a leader of an older version handles it as a read, which
-        changes nothing, instead of rejecting the frame as invalid.
-        """
+        """Return the frame for the transport."""
         frame: Message = {
             FRAME_KIND: REQUEST_FRAME,
             INCARNATION: self.incarnation,
@@ -133,16 +125,15 @@
             frame[IDENTITY] = self.identity
         if self.deadline is not None:
             frame[DEADLINE] = list(self.deadline)
-        if self.kind in REPORT_KINDS and isinstance(self.body, tuple):
-            frame |= {ORDER_KIND: str(OrderKind.READ), BODY: None, REPORT: [str(self.kind), *self.body]}
         return frame
 
     @classmethod
     def decode(cls, frame: Message) -> Self:
-        """Check a frame and return its message. Raises MalformedMessageError."""
+        """Check a frame and return its message. Raises MalformedMessageError.
+
+        Nodes of older versions report what became of their answers, as reads with a further key: these change nothing.
+        """
         incarnation, number = decode_identity(frame)
-        if REPORT in frame:
-            return cls(incarnation, number, *_check_report(frame[REPORT]))
         kind = frame.get(ORDER_KIND)
         if type(kind) is not str or kind not in BODY_CHECKS:
             raise MalformedMessageError("order: unknown kind")
@@ -181,12 +172,9 @@
             frame[NEEDS_REPEAT] = True
         if self.state is not None:
             frame[STATE] = self.state.encode(self.with_body)
-            claims = self.state.encode_claims()
-            if claims is not None:
-                frame[CLAIMS] = claims
-            pending = encode_restorations(pending_only(self.state.restorations))
-            if pending is not None:
-                frame[RESTORATIONS] = pending
+            names = encode_names(self.state.evacuations)
+            if names is not None:
+                frame[CLAIMS] = names
         return frame
 
     @classmethod
@@ -206,7 +194,7 @@
             state = decode_state(frame[STATE], bodies)
             if state is None:
                 raise MalformedMessageError("reply: the state's body is missing and not known here")
-            state = state.with_claims(frame.get(CLAIMS)).with_restorations(frame.get(RESTORATIONS))
+            state = state.with_names(frame.get(CLAIMS))
         elif outcome in OUTCOMES_WITH_STATE:
             raise MalformedMessageError(f"reply: outcome {outcome} without a state")
         incarnation, number = decode_identity(frame)
@@ -240,10 +228,10 @@
     return body
 
 
-def _check_claim(body: object) -> tuple[str, int]:
-    """Return the zone and the identity of the claim that is to be ended."""
-    if not isinstance(body, (list, tuple)) or len(body) != len(CLAIM_FIELDS):
-        raise MalformedMessageError("order: a claim must be a zone and an identity")
+def _check_hold(body: object) -> tuple[str, int]:
+    """Return the zone and the identity of the hold that is to be ended."""
+    if not isinstance(body, (list, tuple)) or len(body) != len(HOLD_FIELDS):
+        raise MalformedMessageError("order: a hold must be a zone and an identity")
     zone, identity = body
     if type(identity) is not int or not 0 < identity < IDENTITY_LIMIT:
         raise MalformedMessageError("order: invalid identity")
@@ -270,16 +258,6 @@
     return OrderDeadline(*fields)
 
 
-def _check_report(fields: object) -> tuple[str, tuple[str, int]]:
-    """Return the kind and the body of a report."""
-    if not isinstance(fields, (list, tuple)) or len(fields) != len(REPORT_FIELDS):
-        raise MalformedMessageError("order: a report must be a kind, a zone and an identity")
-    kind, zone, identity = fields
-    if kind not in REPORT_KINDS:
-        raise MalformedMessageError("order: unknown kind of report")
-    return kind, _check_claim((zone, identity))
-
-
 def _check_empty(body: object) -> None:
     if body is not None:
         raise MalformedMessageError("order: a read must have no body")
@@ -290,5 +268,5 @@
     OrderKind.EVACUATE: _check_zone,
     OrderKind.RESTORE: _check_zone,
     OrderKind.READ: _check_empty,
-    OrderKind.END_CLAIM: _check_claim,
+    OrderKind.END_HOLD: _check_hold,
 }
--- a/rampfront/operator_cli/evacuations.py
+++ b/rampfront/operator_cli/evacuations.py
@@ -19,20 +19,11 @@
 
 
 def evacuation_note(evacuation: Json) -> str:
-    """Returns a note in parentheses on the holds that keep a zone evacuated; empty if it is exactly one."""
-    operators = evacuation["Operators"]
-    if not operators:  # only nodes of earlier versions
-        return " (taken back; opens by itself within seconds, as there may be one more operator)"
-    notes = []
-    if operators > 1 or evacuation["Returned"]:
-        holders = f"{operators} more" if evacuation["Returned"] else f"{operators} operators"
-        notes.append(f"to be taken back by {holders}")
-    if evacuation["Repeated"]:  # only nodes of earlier versions
-        notes.append("emptied again within seconds: a repeat, or one operator more")
-    if notes and evacuation.get("HeldBy"):
-        holds = ", ".join(f"{hold['Hold']} (answer {hold['Answer']})" for hold in evacuation["HeldBy"])
-        notes.append(f"holds: {holds}")
-    return f" ({'; '.join(notes)})" if notes else ""
+    """Returns a note in parentheses on the holds that keep a zone evacuated; empty for a single one without a name."""
+    holds = [hold["Hold"] for hold in evacuation.get("HeldBy", ())]
+    if holds:
+        return f" (holds: {', '.join(holds)})"
+    return f" ({evacuation['Operators']} holds)" if evacuation["Operators"] > 1 else ""
 
 
 def evacuated_zones(status: Json) -> list[str]:
--- a/tests/node/test_order_submitter.py
+++ b/tests/node/test_order_submitter.py
@@ -2,7 +2,7 @@
 
 from node_fixtures import LEADER, OTHER, NodeHarness, receive_update
 
-from rampfront.consensus.evacuation_claims import IDENTITY_LIMIT
+from rampfront.consensus.evacuations import IDENTITY_LIMIT
 from rampfront.consensus.events import OrderKind, Outcome
 from rampfront.node.order_messages import BUSY
 from rampfront.node.order_submitter import MAX_OPEN
