What reported the delivery of answers is removed

Cause: with the zone as a register nobody needs to know what became of an answer. Delivery, its callback through two layers, the question to the kernel for unacknowledged bytes, and the wait of a last response for the caller's end of stream served the reports alone.

Change: removed.

--- a/rampfront/net/http_messages.py
+++ b/rampfront/net/http_messages.py
@@ -1,9 +1,7 @@
 """Requests and responses of the HTTP server, as its handlers use them."""
 
 import json
-from collections.abc import Callable
-from enum import Enum
-from typing import NamedTuple, Protocol, TypeAlias
+from typing import NamedTuple, Protocol
 
 from .http_status import BAD_REQUEST, HttpStatusError
 from .tcp_state import TcpState
@@ -34,15 +32,6 @@
     return json_response({"Message": message}, status, headers)
 
 
-class Delivery(Enum):
-    """Whether a response reached the sender of its request."""
-
-    UNKNOWN = "unknown"  # the connection ended before delivery could be determined
-    DELIVERED = "delivered"  # the sender of the request has received all of it
-    LOST = "lost"  # the sender of the request has not received all of it
-    RESET = "reset"  # its machine has received all of it, and has reset the connection
-
-
 class RequestTiming(NamedTuple):
     """What is known of when a request was sent.
 
@@ -62,9 +51,6 @@
 UNKNOWN_TIMING = RequestTiming()  # of a request without a TCP connection
 
 
-DeliveryCallback: TypeAlias = Callable[[Delivery], None]  # called exactly once
-
-
 class RequestConnection(Protocol):
     """The interface of the connection that a request uses."""
 
@@ -83,8 +69,8 @@
         """The state of its TCP connection, or None if that is not known."""
         raise NotImplementedError
 
-    def respond(self, response: Response, on_delivery: DeliveryCallback | None = None) -> None:
-        """Writes the response to `request`, and calls `on_delivery` with its delivery."""
+    def respond(self, response: Response) -> None:
+        """Writes the response to `request`."""
         raise NotImplementedError
 
 
@@ -152,14 +138,7 @@
         age_ns = max(state.sent_age_ns, state.received_age_ns) + state.round_trip_ns
         return RequestTiming(age_ns, gap_ns, state.round_trip_ns, state.is_delay_bounded)
 
-    def respond(
-        self,
-        status: int,
-        body: bytes = b"",
-        headers: Headers = (),
-        content_type: bytes = JSON,
-        on_delivery: DeliveryCallback | None = None,
-    ) -> bool:
+    def respond(self, status: int, body: bytes = b"", headers: Headers = (), content_type: bytes = JSON) -> bool:
         """Sends the response.
 
         Args:
@@ -167,7 +146,6 @@
             body: the body.
             headers: the header fields, except Content-Type, Content-Length and Connection.
             content_type: the media type of the body.
-            on_delivery: called exactly once, with the delivery of the response.
 
         Returns:
             True if the response was written; False if the request already had one, or its connection has ended.
@@ -175,10 +153,8 @@
         connection = self._connection
         self._connection = None
         if connection is None or connection.request is not self:
-            if on_delivery is not None:
-                on_delivery(Delivery.LOST)
             return False
-        connection.respond(Response(status, body, headers, content_type), on_delivery)
+        connection.respond(Response(status, body, headers, content_type))
         return True
 
 
--- a/rampfront/net/http_server_connection.py
+++ b/rampfront/net/http_server_connection.py
@@ -4,36 +4,26 @@
 `close` closes it once its last response is sent; `refuse` sends an error response and then discards input for a short
 time, because closing a socket with unread bytes resets the connection and may lose the response (RFC 9112, section
 9.6); `abort` closes it immediately.
-
-A handler may ask whether its response was delivered (`Delivery`). It was delivered if a further request follows, or if
-the peer has acknowledged all bytes when it ends its stream. It was lost if the peer ended its stream earlier or reset
-the connection. After a last response whose delivery is asked for, the connection therefore waits until the peer closes.
 """
 
 import asyncio
-import fcntl
 import json
-import struct
-import termios
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol, assert_never, cast
 
 from .closing_connection import ClosingConnection
 from .connection_timeouts import Phase
-from .http_messages import JSON, TEXT, Delivery, DeliveryCallback, IncomingRequest, Response
+from .http_messages import JSON, TEXT, IncomingRequest, Response
 from .http_parsing import CONTINUE_RESPONSE
 from .http_request_reader import RequestReader
 from .http_status import REASON_PHRASES, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE, HttpStatusError
 from .limits import HttpServerLimits
 from .memory_account import MemoryAccount, MemoryShortError
-from .request_size import MAX_IN_FLIGHT_BYTES
 from .tcp_state import TcpState, read_tcp_state
 
 RETRY_AFTER_S = b"0.3"  # sent with each 503 response
 _UNNAMED_REASON = b"Said"  # the reason phrase of a status code that is not in the table
-_FIN_BYTES = 1  # a FIN counts as one byte among the unacknowledged bytes
-_INT = struct.Struct("i")
 
 
 class ConnectionOwner(Protocol):
@@ -77,7 +67,6 @@
         "phase_since_ns",
         "_owner",
         "_unsent_bytes",
-        "_on_delivery",
     )
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -89,7 +78,6 @@
         self.phase_since_ns = 0
         self._owner = owner
         self._unsent_bytes = 0  # of a response that the peer reads slowly, at the last check
-        self._on_delivery: DeliveryCallback | None = None  # of the last response
 
     @property
     def peer(self) -> tuple[str, int] | None:
@@ -131,9 +119,6 @@
         """Cleans up after the connection has ended. A request in progress sees it in `IncomingRequest.finished`."""
         if self.request is not None:
             self._owner.counts["abandoned"] += 1
-        if self._on_delivery is not None:
-            is_reset = error is not None and self._unacknowledged_bytes(if_unknown=_FIN_BYTES + 1) <= _FIN_BYTES
-            self._report_delivery(Delivery.RESET if is_reset else Delivery.UNKNOWN)
         self.request = None
         self.closing = True
         self.ignores_input = True
@@ -143,9 +128,6 @@
 
     def eof_received(self) -> bool:
         """Treats the end of the input as a disconnect: returns False, so that the event loop closes the transport."""
-        if self._on_delivery is not None:
-            unacknowledged = self._unacknowledged_bytes()
-            self._report_delivery(Delivery.LOST if unacknowledged > _FIN_BYTES else Delivery.DELIVERED)
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -153,7 +135,6 @@
         if self.ignores_input:
             self.discard(len(data))
             return
-        self._report_delivery(Delivery.DELIVERED)
         reader = self.reader
         if self.charge.is_sending:
             self.charge.restart(self.transport.get_write_buffer_size())
@@ -237,25 +218,20 @@
         self.reader.awaiting_response = True
         self.phase_since_ns = self._owner.clock()
 
-    def respond(self, response: Response, on_delivery: DeliveryCallback | None = None) -> None:
-        """Writes the response to the current request in one call. `on_delivery` is called with its delivery."""
+    def respond(self, response: Response) -> None:
+        """Writes the response to the current request in one call."""
         is_head = self.request is not None and self.request.method == "HEAD"
         is_last = self.request is not None and self.request.closes_connection
         self._finish_request()
         self.phase_since_ns = self._owner.clock()
         if self.closing:
             self.charge.release()
-            if on_delivery is not None:
-                on_delivery(Delivery.LOST)
             return
         self.reader.last = self.reader.last or is_last or self._owner.draining
         encoded = _encode_response(response, close=self.reader.last, omit_body=is_head)
         self.transport.write(encoded)
         self._charge_output(len(encoded))
-        self._on_delivery = on_delivery
-        if self.reader.last and on_delivery is not None:
-            self.end_output(MAX_IN_FLIGHT_BYTES)
-        elif self.reader.last:
+        if self.reader.last:
             self.close()
 
     def refuse(self, error: HttpStatusError) -> None:
@@ -288,26 +264,6 @@
         self.charge.set(max(size, unsent_bytes))
         self.charge.sending(self, self._owner.limits.write_timeout_ns, unsent_bytes)
 
-    def _report_delivery(self, delivery: Delivery) -> None:
-        """Reports the delivery of the last response, once."""
-        on_delivery, self._on_delivery = self._on_delivery, None
-        if on_delivery is not None:
-            on_delivery(delivery)
-
-    def _unacknowledged_bytes(self, if_unknown: int = 0) -> int:
-        """The number of bytes that the peer's kernel has not acknowledged; 0 if the transport has no socket.
-
-        `if_unknown`: returned if this machine's kernel does not tell.
-        """
-        peer_socket = self.transport.get_extra_info("socket")
-        if peer_socket is None:
-            return 0
-        try:
-            answer = fcntl.ioctl(peer_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-        except OSError:
-            return if_unknown
-        return int(_INT.unpack(answer)[0])
-
     def _finish_request(self) -> None:
         """Clears the pending request."""
         self.request = None
