--- a/rampfront/net/http_parsing.py
+++ b/rampfront/net/http_parsing.py
@@ -1,5 +1,7 @@
 """Shared by all readers of HTTP/1.1: translation of the parser's errors, and constants of the syntax."""
 
+import re
+
 import httptools
 
 from .http_status import BAD_REQUEST, HttpStatusError
@@ -8,6 +10,16 @@
 FIRST_FINAL_STATUS = 200  # lower status codes are interim responses (RFC 9110, section 15.2)
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 FRAMING_SHIFT = 3  # chunk framing may add an eighth to the size of a body
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
+
+
+def contains_status_line(text: bytes) -> bool:
+    """Whether a reason phrase or a field value contains a status line.
+
+    It then is the beginning of another response, in front of which an earlier one was broken off: the two make one
+    head, of which nothing can be trusted.
+    """
+    return b"HTTP/1." in text and _STATUS_LINE.search(text) is not None
 
 
 def feed_request(parser: httptools.HttpRequestParser, data: bytes | memoryview) -> HttpStatusError | None:
--- a/rampfront/net/server_response_reader.py
+++ b/rampfront/net/server_response_reader.py
@@ -9,7 +9,7 @@
 import httptools
 
 from .body_buffer import BodyBuffer
-from .http_parsing import FIRST_FINAL_STATUS
+from .http_parsing import FIRST_FINAL_STATUS, contains_status_line
 from .http_status import OK
 from .limits import NetworkLimits
 from .memory_account import MemoryCharge, MemoryShortError
@@ -60,6 +60,7 @@
         "usage",
         "load_report",
         "_parser",
+        "_reason",
         "_limits",
         "_charge",
         "_may_stream",
@@ -89,6 +90,7 @@
         self.usage: float | None = None
         self.load_report: bytes | None = None
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._reason = b""  # phrase in the status line, as far as it was received
         self._limits = limits
         self._charge = charge
         self._may_stream = may_stream
@@ -136,6 +138,7 @@
         """Resets the state for a new response."""
         if self.complete:
             raise RemoteProtocolError("an unexpected further response")
+        self._reason = b""
         self.body.clear()
         self.is_discarded = False
         self.length = None
@@ -145,8 +148,13 @@
         self.usage = None
         self.load_report = None
 
+    def on_status(self, part: bytes) -> None:
+        """Collects the reason phrase, which may come in parts."""
+        self._reason += part
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Reads one header field."""
+        self.check_one_response(value)
         if name[:1] in b"xX":
             self._read_extension_field(name.lower(), value)
         elif name[:1] in b"cCtT":
@@ -158,6 +166,7 @@
 
     def on_headers_complete(self) -> None:
         """Reads the status code, and decides whether the response is to be streamed."""
+        self.check_one_response(self._reason)
         assert self._parser is not None
         self.status = self._parser.get_status_code()
         self.head_complete = self.status >= FIRST_FINAL_STATUS
@@ -194,6 +203,12 @@
             self.complete = True
             self.keep_alive = self._parser.should_keep_alive()  # the parser knows it in this callback only
 
+    @staticmethod
+    def check_one_response(text: bytes) -> None:
+        """Raises RemoteProtocolError if a part of the head contains the beginning of another response."""
+        if contains_status_line(text):
+            raise RemoteProtocolError("a response begins within the head of another")
+
     def _charge_body(self, size: int) -> None:
         """Charges a body of `size` bytes, or discards it if there is no memory for it."""
         try:
--- a/rampfront/proxy/server_response_reader.py
+++ b/rampfront/proxy/server_response_reader.py
@@ -7,7 +7,7 @@
 
 from ..net.limits import NetworkLimits
 from ..net.memory_account import MemoryCharge
-from ..net.server_response_reader import ServerResponseReader
+from ..net.server_response_reader import RemoteProtocolError, ServerResponseReader
 from .server_response import HOP_BY_HOP_FIELDS
 
 # Fields that the proxy evaluates, whether or not they are also forwarded.
@@ -23,6 +23,7 @@
         b"keep-alive",
     )
 )
+_UNIQUE_FIELDS = frozenset((b"try-id", b"server-seal", b"not-run"))  # they say whose response it is, and of what
 _FALSE = (b"", b"0")  # values of `Not-Run` that count as absent
 
 
@@ -52,10 +53,13 @@
         self.header_lines = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Records a header field."""
+        """Records a header field. Raises RemoteProtocolError if the head is made of those of two responses."""
         if self.head_complete:
             return  # trailers are ignored
+        self.check_one_response(value)
         lowered = name.lower()
+        if lowered in _UNIQUE_FIELDS and lowered in self.fields:
+            raise RemoteProtocolError(f"{lowered.decode()} comes twice in one head")
         if lowered in _EVALUATED_FIELDS:
             self.fields[lowered] = value
         if lowered not in HOP_BY_HOP_FIELDS:
