The core's member has a disk; orders on zones need no class of their own

Cause: consensus/ had a second form of a member, without a disk, that only located the leader. No process builds it: a node without a disk has no member and finds the leader by dissemination. And what was left of applying orders on zones was a class that passed two calls on.

Change: both removed.

--- a/rampfront/consensus/context.py
+++ b/rampfront/consensus/context.py
@@ -19,16 +19,14 @@
 class MemberSettings(NamedTuple):
     """Startup settings of a member.
 
-    `seeds`: IP addresses to query for the leader; the first seed bootstraps the core. `has_disk`: a node without a disk
-    never votes and only locates the leader. `is_first_start`: the settings mark this start as the initial start of the
-    whole system. `survive`: number of machines that may be lost at the same time. `order_repeat_ns`: how long callers
-    keep retrying an order that got no answer.
+    `seeds`: IP addresses to query for the leader; the first seed bootstraps the core. `is_first_start`: the settings
+    mark this start as the initial start of the whole system. `survive`: number of machines that may be lost at the same
+    time. `order_repeat_ns`: how long callers keep retrying an order that got no answer.
     """
 
     name: str
     ip: str
     seeds: Sequence[str]
-    has_disk: bool = True
     is_first_start: bool = False
     survive: int = 0
     order_repeat_ns: DurationNs = DEFAULT_REPEAT_NS
--- a/rampfront/consensus/leader.py
+++ b/rampfront/consensus/leader.py
@@ -36,7 +36,6 @@
 from .persistent_state import FOUNDING_TERM, PersistentState
 from .replication import Replication
 from .state import State, StateChanges
-from .zone_order_application import ZoneOrderApplication
 
 BOOTSTRAP_WAIT_NS = 5 * SEC  # how long an empty core waits for more members before it accepts orders
 
@@ -68,7 +67,7 @@
         self.strength_monitor = StrengthMonitor(self.membership, self.replication, survive)
         self._orders = OrderQueue(context, persistent)
         late_orders = LateOrderDetector(self._known_since(), context.settings.order_repeat_ns)
-        self._application = OrderApplication(ZoneOrderApplication(late_orders))
+        self._application = OrderApplication(late_orders)
         self._transfer = LeadershipTransfer()
         self._last_entry_had_orders = False  # if so, a membership change goes before further orders
 
--- a/rampfront/consensus/leader_discovery.py
+++ b/rampfront/consensus/leader_discovery.py
@@ -3,10 +3,9 @@
 The mechanism is specific to this project; Raft leaves it to clients to find the leader (Ongaro's dissertation, section
 6.2).
 
-- A node without a disk queries the leader it knows, or all known addresses if it knows none.
-- A node that wants to join sends a `JoinRequest` to the same addresses. The leader replies with a `LeaderHint` that
-  contains its join token for this term. Only requests with that token are accepted, so that a delayed request cannot
-  bring back a removed incarnation.
+- A node that wants to join sends a `JoinRequest` to all known addresses, or to the leader if it has news of it. The
+  leader replies with a `LeaderHint` that contains its join token for this term. Only requests with that token are
+  accepted, so that a delayed request cannot bring back a removed incarnation.
 - A member without a leader for a long time queries the seeds too, since all members it knows may have been replaced.
 - The seeds need not have a member of the core. Whatever process a node reaches passes on the leader and the state that
   it knows (`membership/dissemination.py`); the node hands these addresses to its member as contacts.
@@ -115,16 +114,6 @@
 
     # Queries and join requests.
 
-    def tick_without_disk(self) -> None:
-        """Queries for the leader, on a node without a disk; more often while no leader is known."""
-        now = self._context.now
-        is_known = self.leader_ip is not None and now - self._leader_known_at < FORGET_LEADER_NS
-        if not is_known:
-            self.leader_ip = None
-        if now - self._requested_at >= (QUERY_INTERVAL_NS if is_known else JOIN_INTERVAL_NS):
-            self._requested_at = now
-            self._context.broadcast([self.leader_ip] if is_known else self._known_ips(), LeaderQuery())
-
     def expire(self) -> None:
         """Forgets the leader after `FORGET_LEADER_NS` without news of it."""
         if self.leader_ip is not None and self._context.now - self._leader_known_at > FORGET_LEADER_NS:
@@ -182,12 +171,12 @@
         Returns the leader's IP address if the hint is credible and says that this incarnation is not a member, else
         None.
         """
-        has_disk, is_member = self._context.settings.has_disk, self._persistent.is_member()
+        is_member = self._persistent.is_member()
         if hint.member_ips and not is_member and hint.member_ips != self._persistent.member_ips:
             self._persistent.learn_members(hint.member_ips)
         is_current = hint.term >= self._persistent.term
         is_from_leader = ip == hint.leader_ip
-        is_excluded = hint.receiver_is_excluded and is_current and has_disk
+        is_excluded = hint.receiver_is_excluded and is_current
         if is_excluded and is_from_leader and not is_member:
             return ip
         if hint.leader_ip and is_current and not is_member:
@@ -201,9 +190,7 @@
     def _follow_hint(self, hint: LeaderHint, is_from_leader: bool) -> None:
         """Adopts the leader named in a hint; called on a non-member."""
         self._note_leader(hint.leader_ip)
-        if not self._context.settings.has_disk:
-            self._persistent.follow_term(hint.term)
-        elif hint.join_token and hint.join_token != self._join_token and is_from_leader:
+        if hint.join_token and hint.join_token != self._join_token and is_from_leader:
             self._join_token = hint.join_token
             self._requested_at = -SEC
             self.request_to_join()
--- a/rampfront/consensus/member.py
+++ b/rampfront/consensus/member.py
@@ -38,7 +38,7 @@
 
 
 class Member:
-    """A core member, or a node without a disk that only locates the leader. `roles` is public only for tests."""
+    """A core member, or a node with a disk that wants to be one. `roles` is public only for tests."""
 
     def __init__(self, settings: MemberSettings, record: bytes | None, random: Random, now: TimeNs) -> None:
         """Restores the member from `record`, the record on disk, or initializes it if `record` is None.
@@ -66,7 +66,7 @@
 
     @property
     def incarnation(self) -> Incarnation:
-        """Incarnation of this member; 0 without a disk."""
+        """Incarnation of this member."""
         return self._persistent.incarnation
 
     @property
@@ -186,9 +186,6 @@
             self._context.emit(StateCommitted(self._persistent.committed))
 
     def _tick(self) -> None:
-        if not self._context.settings.has_disk:
-            self.roles.discovery.tick_without_disk()
-            return
         if self.roles.leader is not None:
             self.roles.leader.tick()
             return
--- a/rampfront/consensus/message_handler.py
+++ b/rampfront/consensus/message_handler.py
@@ -52,10 +52,7 @@
 
     def receive(self, ip: str, message: Message) -> None:
         """Handles a message. Raises RemoteProtocolError if its content is invalid."""
-        if not self._roles.context.settings.has_disk:
-            if isinstance(message, LeaderHint):
-                self._discovery.receive_hint(ip, message)
-        elif message.receiver_incarnation not in (None, self._persistent.incarnation):
+        if message.receiver_incarnation not in (None, self._persistent.incarnation):
             self._receive_for_another(ip, message)
         else:
             self._dispatch(ip, message)
--- a/rampfront/consensus/messages.py
+++ b/rampfront/consensus/messages.py
@@ -26,7 +26,7 @@
 
 
 class LeaderQuery(NamedTuple):
-    """A query for the leader. `sender`: key of a member without a leader; None from a node without a disk."""
+    """A query for the leader. `sender`: key of a member without a leader; None if the sender has none."""
 
     sender: MemberKey | None = None
     receiver_incarnation: Incarnation | None = None
--- a/rampfront/consensus/order_application.py
+++ b/rampfront/consensus/order_application.py
@@ -17,10 +17,9 @@
 from .evacuations import IDENTITY_LIMIT
 from .events import Order, OrderKind, Outcome
 from .identifiers import LogIndex, RoundNumber, TimeNs
-from .late_orders import ZoneOrder
+from .late_orders import LateOrderDetector, ZoneOrder
 from .state import MAX_BODY_BYTES, MAX_NAMES, MAX_NUMBER, MAX_ZONE_CHARS, State
 from .version_history import content_digest
-from .zone_order_application import ZoneOrderApplication
 
 MAX_EVACUATED_ZONES = MAX_NAMES // 2
 
@@ -144,9 +143,9 @@
 class OrderApplication:
     """Applies orders to states, on one leader."""
 
-    def __init__(self, zone_orders: ZoneOrderApplication) -> None:
-        """`zone_orders`: of the same leader."""
-        self._zone_orders = zone_orders
+    def __init__(self, late_orders: LateOrderDetector) -> None:
+        """`late_orders`: of the same leader; it knows the last orders on each zone."""
+        self._late_orders = late_orders
 
     def outcome(self, state: State, order: PendingOrder) -> Outcome:
         """Returns the outcome of an order, given that this state or the state resulting from it is committed."""
@@ -165,7 +164,7 @@
     def note(self, order: PendingOrder, now: TimeNs) -> None:
         """Records an accepted order, for the detection of late ones."""
         if isinstance(order.change, ZoneOrder):
-            self._zone_orders.note(order.change, now)
+            self._late_orders.note_accepted(order.change, now)
 
     def batch(self, entry: State, orders: list[PendingOrder], now: TimeNs) -> Batch:
         """Applies orders in sequence, up to the first one that must not share an entry with those before it."""
@@ -179,12 +178,13 @@
             change = order.change
             if isinstance(change, ZoneOrder) and kinds.setdefault(change.zone, order.kind) != order.kind:
                 break
-            if isinstance(change, ZoneOrder) and self._zone_orders.must_be_repeated(state, change, now):
+            after = self.apply(state, order)
+            has_effect = after is not state
+            if isinstance(change, ZoneOrder) and has_effect and self._late_orders.must_be_repeated(change, now):
                 order.set_outcome(Outcome.NEEDS_REPEAT)
                 unchanged.append(order)
                 continue
             order.set_outcome(self.outcome(state, order))
-            after = self.apply(state, order)
             self.note(order, now)
             (unchanged if after is entry else carried).append(order)
             state = after
--- a/rampfront/consensus/persistent_state.py
+++ b/rampfront/consensus/persistent_state.py
@@ -42,7 +42,7 @@
         the core with itself as the only member.
         """
         self._context = context
-        self.key = MemberKey(context.settings.name, 0)  # identity of this member; incarnation 0: no disk
+        self.key = MemberKey(context.settings.name, 0)  # identity of this member; incarnation 0: not drawn yet
         self.term: Term = 0
         self.vote: MemberKey | None = None  # vote given in `term`
         self.entry: State | None = None  # newest entry
@@ -57,7 +57,7 @@
         self._identity_version = 1 if record is None else 0  # first version that contains the incarnation
         if record is not None:
             self._load(record)
-        elif context.settings.has_disk:
+        else:
             self._start_empty()
         if self.entry is not None:
             self.bodies.add(self.entry)
@@ -99,10 +99,6 @@
         self.vote = None
         self.version += 1
 
-    def follow_term(self, term: Term) -> None:
-        """Updates the term of a node without a disk, which never votes and has nothing to store."""
-        self.term = term
-
     def vote_for(self, candidate: MemberKey) -> None:
         """Records the vote of this term."""
         self.vote = candidate
@@ -132,8 +128,7 @@
         They are written to disk, because the process may be killed before it is added and would then know no address.
         """
         self.member_ips = ips
-        if self._context.settings.has_disk:
-            self.version += 1
+        self.version += 1
 
     def remember_nodes(self, ips: list[str]) -> None:
         """Records the addresses of the current nodes, and writes them to disk if there is a new one.
--- a/rampfront/consensus/zone_order_application.py
+++ b/rampfront/consensus/zone_order_application.py
@@ -1,32 +1,14 @@
 """Applies orders on zones to the state. No I/O, no clock.
 
-`evacuations.py` says what an order does to the holds on a zone; `late_orders.py` decides whether it may be a late
-attempt. `order_application.py` calls this module.
+`evacuations.py` says what an order does to the holds on a zone. `order_application.py` calls this module.
 """
 
 from .evacuations import Evacuation, with_zone
 from .events import OrderKind, Outcome
-from .identifiers import TimeNs
-from .late_orders import LateOrderDetector, ZoneOrder
+from .late_orders import ZoneOrder
 from .state import State
 
 
-class ZoneOrderApplication:
-    """Applies orders on zones to states, on one leader."""
-
-    def __init__(self, late_orders: LateOrderDetector) -> None:
-        """`late_orders`: of the same leader; it knows the last orders on each zone."""
-        self._late_orders = late_orders
-
-    def must_be_repeated(self, state: State, order: ZoneOrder, now: TimeNs) -> bool:
-        """Whether an order may be late and would change its zone, so that it is carried out only if given again."""
-        return applied(state, order) is not state and self._late_orders.must_be_repeated(order, now)
-
-    def note(self, order: ZoneOrder, now: TimeNs) -> None:
-        """Records an order that was accepted, for the detection of late ones."""
-        self._late_orders.note_accepted(order, now)
-
-
 def applied(state: State, order: ZoneOrder) -> State:
     """Returns the state after an order; the same object if nothing changes."""
     before = state.evacuation_of(order.zone)
--- a/rampfront/node/control_calls.py
+++ b/rampfront/node/control_calls.py
@@ -160,8 +160,10 @@
 
         def on_done(outcome: str | None, state: State | None) -> None:
             """Answer the caller."""
-            is_done = outcome == Outcome.DONE and state is not None and identity not in state.evacuation_of(zone).named
-            reply(request, json_response(evacuation_view(zone, state)) if is_done and state else not_done(outcome))
+            if outcome != Outcome.DONE or state is None or identity in state.evacuation_of(zone).named:
+                reply(request, not_done(outcome))
+            else:
+                reply(request, json_response(evacuation_view(zone, state)))
 
         self._orders.submit(OrderKind.END_HOLD, (zone, identity), on_done, caller=request)
         return None
